--- a/src/bin/lotusring-adapter/main.rs
+++ b/src/bin/sagemount-adapter/main.rs
@@ -8,7 +8,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use lotusring::*;
+use sagemount::*;
 use rustc_hash::FxHashMap;
 use wire::{Config, Line, Message, Scoped, What};
 
@@ -190,7 +190,7 @@
     match serve(&mut input, &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("lotusring-adapter: {problem}");
+            eprintln!("sagemount-adapter: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/lotusring-adapter/wire.rs
+++ b/src/bin/sagemount-adapter/wire.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 
-use lotusring::*;
+use sagemount::*;
 
 /// What is wrong with a line, said plainly.
 #[derive(Debug, PartialEq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,7 +25,7 @@
 //! # A host in small
 //!
 //! ```
-//! use lotusring::*;
+//! use sagemount::*;
 //!
 //! let safe = Class { worth: 1.0, setup_aim: 300_000, message_aim: 100_000, repeat: Repeat::Safe };
 //! let settings = Settings { classes: vec![safe], max_attempts: 3, ..Settings::default() };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! What the module tests share: short ways to say settings, lists and events.
 #![allow(dead_code)]
 
-use lotusring::*;
+use sagemount::*;
 
 pub const MS: u64 = 1_000;
 pub const SECOND: u64 = 1_000_000;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use lotusring::*;
+use sagemount::*;
 use proptest::prelude::*;
 
 /// One thing that may happen. Numbers choose among what is there at that time.
