--- a/src/bin/sagemount-adapter/main.rs
+++ b/src/bin/sagemount-adapter/main.rs
@@ -8,8 +8,8 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use sagemount::*;
 use rustc_hash::FxHashMap;
+use sagemount::*;
 use wire::{Config, Line, Message, Scoped, What};
 
 /// One balancer with what its events need to be put in the module's terms.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+// The daemon's layers. The module above knows none of them; see `docs/design.md`.
+#[allow(missing_docs)]
+pub mod program;
+#[allow(missing_docs)]
+pub mod protocol;
+#[allow(missing_docs)]
+pub mod routing;
+#[allow(missing_docs)]
+pub mod transport;
+
 mod rules;
 mod types;
 
--- /dev/null
+++ b/src/program/mod.rs
@@ -0,0 +1,5 @@
+//! The program around the balancer: its configuration, its log and its command line.
+
+pub mod commands;
+pub mod config;
+pub mod log;
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,49 @@
+//! Parsers and encoders, without sockets. Each front is a small state machine over bytes.
+
+pub mod http;
+pub mod json;
+pub mod lines;
+pub mod platform;
+
+use crate::routing::{Answer, Authorisation, LegEnd};
+use crate::Micros;
+
+/// The longest line of the platform's wire, CRLF included.
+pub const LONGEST_LINE: usize = 4096;
+
+/// What a front makes of the bytes that came, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// For the acquirer side.
+    ToAcquirer(Vec<u8>),
+    /// For the issuer host.
+    ToIssuer(Vec<u8>),
+    /// The acquirer side asks.
+    Authorise(Authorisation),
+    /// The issuer host accepted.
+    Up,
+    /// It told the connection's load.
+    Load(f64),
+    /// It ended the leg by its word; for [`LegEnd::Verdict`] the answer has been given with it.
+    LegEnded(LegEnd),
+    /// The acquirer side broke its protocol before it asked, and has been told: end it.
+    Close,
+}
+
+/// One connection of the acquirer side with the leg that is out for it.
+pub trait Front {
+    /// Bytes came from the acquirer side.
+    fn from_acquirer(&mut self, bytes: &[u8], steps: &mut Vec<Step>);
+    /// A leg is opened, and the host has so long: what is to be written first.
+    fn open_leg(&mut self, wait: Micros) -> Vec<u8>;
+    /// Bytes came from the issuer host.
+    fn from_issuer(&mut self, bytes: &[u8], steps: &mut Vec<Step>);
+    /// The issuer host ended its side, or its connection broke: what that says of the leg.
+    fn issuer_ended(&mut self, broken: bool) -> LegEnd;
+    /// The answer in this front's words. None where there is none to give.
+    fn answer(&mut self, answer: Answer) -> Vec<u8>;
+    /// Bytes of an unfinished line from the issuer host, which nobody waits for any more.
+    fn held_back(&mut self) -> Vec<u8>;
+    /// Bytes that wait in this front, read but not yet passed on.
+    fn waiting(&self) -> usize;
+}
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,629 @@
+//! The one reducer: every change of the balancer's state goes through [`reduce`], which reads nothing,
+//! writes nothing and knows no wire. Reading and writing are [`Effect`]s that it asks for.
+//!
+//! It owns the decision module's balancers, one for each pool of issuer hosts, and only here do the
+//! shop's terms meet the module's: an authorisation is its request, a leg its attempt, an issuer host
+//! its server.
+
+mod table;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+pub use table::{host_number, IssuerHost, Lifecycle, RoutingTable};
+
+use crate::{
+    Action, Balancer, ClassId, Event, GroupId, Micros, Note, Outcome, RequestId, ServerId, Settings,
+    TenantId, Time,
+};
+
+/// How long a balancer that leaves asks refused clients to stay away: the front needs that to notice.
+const LEAVING_WAIT: Micros = 400_000;
+/// From when, and over how long, a balancer that leaves moves its clients: not all in one wave.
+const LEAVING_FROM: Micros = 50_000;
+const LEAVING_OVER: Micros = 1_800_000;
+/// A connection that stood before the start is tried this long, this far apart.
+const ADOPT_FOR: Micros = 30_000_000;
+const ADOPT_GAP: Micros = 500_000;
+/// Word of how long messages take goes to the module once in this time a host.
+const SLOW_GAP: Micros = 1_000_000;
+
+/// One authorisation: a connection of the acquirer side, from its accept to its end. Never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AuthId(pub u64);
+
+/// Which of the pools of issuer hosts, each with its own routing table and balancer.
+pub type PoolId = usize;
+
+/// What the acquirer side asks for, in no wire's terms.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Authorisation {
+    /// Name of its class.
+    pub class: String,
+    /// Name of its tenant.
+    pub tenant: Option<String>,
+    /// Its group.
+    pub group: Option<u64>,
+    /// Its usual load.
+    pub load: Option<f64>,
+    /// How long the acquirer side waits from now on.
+    pub wait: Micros,
+    /// It stood already, at this issuer host.
+    pub standing_at: Option<String>,
+}
+
+/// How a leg ended, as its issuer host or the network had it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LegEnd {
+    /// Served to its end, in order.
+    Served,
+    /// The host sent the acquirer side away.
+    SentAway,
+    /// The host answered with an error.
+    Error,
+    /// Turned away unseen.
+    TurnedAway,
+    /// No connection, or it broke before the request was written in full.
+    NoConnection,
+    /// It broke or ended without a word after that.
+    Broken,
+    /// The host's own verdict was passed on to the acquirer side: nothing more is to be done.
+    Verdict,
+}
+
+/// A final answer, or the one notice that a standing connection is moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Refused: come again after this time, 0 for no advice.
+    Refused(Micros),
+    /// Failed.
+    Failed,
+    /// It never came to ask before its time was up.
+    Late,
+    /// Come again at once: the host leaves, or this balancer does.
+    Moved,
+}
+
+/// What happened outside.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// The acquirer side connected to a pool's front.
+    Met { auth: AuthId, pool: PoolId },
+    /// It asks.
+    Authorise { auth: AuthId, ask: Authorisation },
+    /// It left.
+    Left { auth: AuthId },
+    /// All of the leg's request is written.
+    LegWritten { auth: AuthId, leg: u32 },
+    /// The issuer host accepted: lines go both ways from here on.
+    LegUp { auth: AuthId, leg: u32 },
+    /// The issuer host ended the leg.
+    LegEnded { auth: AuthId, leg: u32, end: LegEnd },
+    /// A line went to the issuer host of a standing connection.
+    Asked { auth: AuthId },
+    /// Something came from it.
+    Heard { auth: AuthId },
+    /// It told the connection's load, in microseconds of work a second.
+    Load { auth: AuthId, load: f64 },
+    /// News of a routing table: all of it, or what changed.
+    Table { pool: PoolId, whole: bool, hosts: Vec<IssuerHost> },
+    /// The watch on it broke, or could not be had.
+    TableLost { pool: PoolId },
+    /// This balancer is to leave.
+    Leave,
+    /// Time has come to something.
+    Tick,
+}
+
+/// What is to be done outside, in this order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Connect to this address and send the request; the host is told that it has so long.
+    OpenLeg { auth: AuthId, leg: u32, address: String, wait: Micros },
+    /// Close the leg that is out.
+    CloseLeg { auth: AuthId },
+    /// Give this answer, then end both sides.
+    Answer { auth: AuthId, answer: Answer },
+    /// Watch a routing table, telling what was missed first.
+    Watch { pool: PoolId },
+    /// A line for the log.
+    Log(String),
+    /// Nothing is held any more: the balancer may go.
+    Exit,
+}
+
+/// What a pool is set up with.
+#[derive(Clone, Debug)]
+pub struct PoolSetup {
+    /// Names that index the module's classes, tenants and zones.
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// The seed of its chance.
+    pub seed: u64,
+    /// The acquirer side has so long to ask.
+    pub greeting: Micros,
+    /// A standing connection whose host stays silent so long after a line is moved; 0 for never.
+    pub silence: Micros,
+    /// The longest that an acquirer side waits for its answer.
+    pub longest_wait: Micros,
+}
+
+struct Pool {
+    setup: PoolSetup,
+    balancer: Balancer,
+    table: RoutingTable,
+    wake: Option<Time>,
+    /// When the module was last told of slow messages at a host, and whether it still believes so.
+    slow: BTreeMap<ServerId, (Time, bool)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    /// Connected, has not asked.
+    Greeting,
+    /// An answer is owed.
+    Placing,
+    /// It stood at this host before the start and is set up again until then.
+    Adopting(Time, ServerId),
+    /// Served.
+    Standing,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Leg {
+    number: u32,
+    host: ServerId,
+    written: bool,
+    /// When it has to be up.
+    until: Time,
+}
+
+struct Auth {
+    pool: PoolId,
+    phase: Phase,
+    legs: u32,
+    leg: Option<Leg>,
+    /// Its one timer.
+    due: Option<Time>,
+    /// The host's last word, and the first line that has had none since.
+    heard: Time,
+    asked: Option<Time>,
+}
+
+/// All that the balancer knows.
+pub struct State {
+    pools: Vec<Pool>,
+    auths: BTreeMap<AuthId, Auth>,
+    timers: BTreeSet<(Time, AuthId)>,
+    /// Authorisations with a leg at a host.
+    at: BTreeMap<(PoolId, ServerId), BTreeSet<AuthId>>,
+    /// When it goes at the latest, once it leaves.
+    leaving: Option<Time>,
+    effects: Vec<Effect>,
+}
+
+/// Takes in what happened and returns what is to be done. The only way in which the state changes.
+pub fn reduce(state: &mut State, now: Time, input: Input) -> Vec<Effect> {
+    state.take(now, input);
+    std::mem::take(&mut state.effects)
+}
+
+impl State {
+    /// A balancer that has been told its pools and nothing else.
+    pub fn new(pools: Vec<PoolSetup>, now: Time) -> State {
+        let pool = |setup: PoolSetup| Pool {
+            balancer: Balancer::new(setup.settings.clone(), setup.seed, now),
+            table: RoutingTable::default(),
+            wake: None,
+            slow: BTreeMap::new(),
+            setup,
+        };
+        State {
+            pools: pools.into_iter().map(pool).collect(),
+            auths: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            at: BTreeMap::new(),
+            leaving: None,
+            effects: Vec::new(),
+        }
+    }
+
+    /// When [`Input::Tick`] is wanted next.
+    pub fn next_due(&self) -> Option<Time> {
+        let wakes = self.pools.iter().filter_map(|pool| pool.wake);
+        wakes.chain(self.timers.first().map(|&(at, _)| at)).chain(self.leaving).min()
+    }
+
+    /// Connections held, and legs out to an issuer host: for gauges and tests.
+    pub fn held(&self) -> usize {
+        self.auths.len()
+    }
+
+    fn take(&mut self, now: Time, input: Input) {
+        match input {
+            Input::Met { auth, pool } => self.met(now, auth, pool),
+            Input::Authorise { auth, ask } => self.authorise(now, auth, ask),
+            Input::Left { auth } => self.left(now, auth),
+            Input::LegWritten { auth, leg } => {
+                if let Some(leg) = self.leg(auth, leg) {
+                    leg.written = true;
+                }
+                self.time_leg(auth);
+            }
+            Input::LegUp { auth, leg } => self.leg_up(now, auth, leg),
+            Input::LegEnded { auth, leg, end } => self.leg_ended(now, auth, leg, end),
+            Input::Asked { auth } => {
+                if let Some(auth) = self.auths.get_mut(&auth) {
+                    auth.asked.get_or_insert(now);
+                }
+            }
+            Input::Heard { auth } => self.heard(now, auth),
+            Input::Load { auth, load } => self.note(now, auth, Note::Load(load)),
+            Input::Table { pool, whole, hosts } => self.follow(now, pool, whole, hosts),
+            Input::TableLost { pool } => self.tell(now, pool, Event::ListFailed),
+            Input::Leave => self.leave(now),
+            Input::Tick => self.tick(now),
+        }
+        if self.leaving.is_some_and(|at| now >= at || self.auths.is_empty()) {
+            self.leaving = None;
+            self.effects.push(Effect::Exit);
+        }
+    }
+
+    // ---- The acquirer side ----
+
+    fn met(&mut self, now: Time, id: AuthId, pool: PoolId) {
+        let Some(greeting) = self.pools.get(pool).map(|p| p.setup.greeting) else { return };
+        let auth =
+            Auth { pool, phase: Phase::Greeting, legs: 0, leg: None, due: None, heard: now, asked: None };
+        self.auths.insert(id, auth);
+        self.set_due(id, Some(now.plus(greeting)));
+    }
+
+    fn authorise(&mut self, now: Time, id: AuthId, ask: Authorisation) {
+        let Some(auth) = self.auths.get(&id).filter(|a| a.phase == Phase::Greeting) else { return };
+        let pool_id = auth.pool;
+        if self.leaving.is_some() {
+            // What still arrives at a balancer that leaves is answered, and told to come again.
+            self.forget(id);
+            return self.effects.push(Effect::Answer { auth: id, answer: Answer::Refused(LEAVING_WAIT) });
+        }
+        let pool = &self.pools[pool_id];
+        let index = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let class = ClassId(index(&pool.setup.classes, &ask.class).unwrap_or(usize::MAX) as u16);
+        let tenant = ask.tenant.as_deref().and_then(|name| index(&pool.setup.tenants, name));
+        let tenant = tenant.map(|i| TenantId(i as u16));
+        let (group, load, request) = (ask.group.map(GroupId), ask.load, RequestId(id.0));
+        self.set_due(id, None);
+        let Some(name) = ask.standing_at else {
+            self.phase(id, Phase::Placing);
+            let deadline = now.plus(ask.wait);
+            let event = Event::Arrived { request, class, tenant, group, load, deadline };
+            return self.tell(now, pool_id, event);
+        };
+        let server = host_number(&name);
+        self.phase(id, Phase::Adopting(now.plus(ADOPT_FOR), server));
+        self.tell(now, pool_id, Event::Open { request, class, tenant, group, load, server });
+        self.open_leg(now, id, server, ADOPT_FOR);
+    }
+
+    fn left(&mut self, now: Time, id: AuthId) {
+        let Some(auth) = self.auths.get(&id) else { return };
+        let (pool, phase) = (auth.pool, auth.phase);
+        if phase == Phase::Placing {
+            self.tell(now, pool, Event::Left { request: RequestId(id.0) });
+        }
+        self.end(now, id, Outcome::Cancelled);
+    }
+
+    // ---- Legs ----
+
+    fn open_leg(&mut self, now: Time, id: AuthId, host: ServerId, wait: Micros) {
+        let Some(auth) = self.auths.get_mut(&id) else { return };
+        let pool = &self.pools[auth.pool];
+        let (number, connect) = (auth.legs, pool.setup.settings.connect_timeout);
+        auth.legs += 1;
+        auth.leg = Some(Leg { number, host, written: false, until: now.plus(wait) });
+        self.at.entry((auth.pool, host)).or_default().insert(id);
+        let address = pool.table.any(host).map_or(String::new(), |host| host.address.clone());
+        self.effects.push(Effect::OpenLeg { auth: id, leg: number, address, wait });
+        self.set_due(id, Some(now.plus(wait.min(connect))));
+    }
+
+    /// The leg that is out, if it is this one. Danger: a late word of an ended leg must change nothing.
+    fn leg(&mut self, id: AuthId, number: u32) -> Option<&mut Leg> {
+        self.auths.get_mut(&id)?.leg.as_mut().filter(|leg| leg.number == number)
+    }
+
+    fn time_leg(&mut self, id: AuthId) {
+        let Some(auth) = self.auths.get(&id).filter(|a| a.phase != Phase::Standing) else { return };
+        if let Some(until) = auth.leg.filter(|leg| leg.written).map(|leg| leg.until) {
+            self.set_due(id, Some(until));
+        }
+    }
+
+    fn leg_up(&mut self, now: Time, id: AuthId, number: u32) {
+        if self.leg(id, number).is_none() {
+            return;
+        }
+        let Some(auth) = self.auths.get_mut(&id).filter(|a| a.phase != Phase::Standing) else { return };
+        auth.heard = now;
+        let (pool, placed) = (auth.pool, auth.phase == Phase::Placing);
+        auth.phase = Phase::Standing;
+        let silence = self.pools[pool].setup.silence;
+        let due = match self.leaving {
+            Some(at) => Some(at.min(now.plus(LEAVING_FROM))),
+            None => (silence > 0).then(|| now.plus(silence)),
+        };
+        self.set_due(id, due);
+        if placed {
+            self.tell(now, pool, Event::Started { request: RequestId(id.0), attempt: number });
+        }
+    }
+
+    fn leg_ended(&mut self, now: Time, id: AuthId, number: u32, end: LegEnd) {
+        if self.leg(id, number).is_none() {
+            return;
+        }
+        let outcome = match end {
+            LegEnd::Served => Outcome::Ok,
+            LegEnd::SentAway | LegEnd::Verdict => Outcome::Cancelled,
+            LegEnd::Error => Outcome::Error,
+            LegEnd::TurnedAway => Outcome::Full,
+            LegEnd::NoConnection => Outcome::ConnectFailed,
+            LegEnd::Broken => Outcome::Reset,
+        };
+        match self.auths.get(&id).map(|a| a.phase) {
+            Some(Phase::Adopting(until, _)) if now < until => {
+                self.drop_leg(id);
+                self.set_due(id, Some(now.plus(ADOPT_GAP)));
+            }
+            Some(Phase::Placing) if end != LegEnd::Verdict => self.leg_failed(now, id, outcome),
+            Some(_) => self.end(now, id, outcome),
+            None => {}
+        }
+    }
+
+    /// A leg of an authorisation that is still owed its answer has come to nothing.
+    fn leg_failed(&mut self, now: Time, id: AuthId, outcome: Outcome) {
+        let Some((pool, leg)) = self.auths.get(&id).and_then(|a| Some((a.pool, a.leg?))) else { return };
+        self.drop_leg(id);
+        self.set_due(id, None);
+        let (request, attempt, answered) = (RequestId(id.0), leg.number, false);
+        self.tell(now, pool, Event::Ended { request, attempt, outcome, answered });
+    }
+
+    fn drop_leg(&mut self, id: AuthId) -> Option<Leg> {
+        let auth = self.auths.get_mut(&id)?;
+        let leg = auth.leg.take()?;
+        if let Some(there) = self.at.get_mut(&(auth.pool, leg.host)) {
+            there.remove(&id);
+            if there.is_empty() {
+                self.at.remove(&(auth.pool, leg.host));
+            }
+        }
+        Some(leg)
+    }
+
+    // ---- Standing connections ----
+
+    fn heard(&mut self, now: Time, id: AuthId) {
+        let Some(auth) = self.auths.get_mut(&id).filter(|a| a.phase == Phase::Standing) else { return };
+        auth.heard = now;
+        let (Some(asked), Some(leg)) = (auth.asked.take(), auth.leg) else { return };
+        let pool = &mut self.pools[auth.pool];
+        let aims = pool.setup.settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
+        let Some(aim) = aims.min() else { return };
+        // Danger: all standing connections of a slow host tell so at once, and the module takes each word
+        // for news: it gets one a second, and one more when the host is well again.
+        let took = now.since(asked);
+        let (told, slow) = pool.slow.get(&leg.host).copied().unwrap_or((Time(0), false));
+        let is_slow = took * 3 > aim;
+        if (is_slow || slow) && now.since(told) >= SLOW_GAP {
+            pool.slow.insert(leg.host, (now, is_slow));
+            self.note(now, id, Note::MessageTime(took));
+        }
+    }
+
+    fn note(&mut self, now: Time, id: AuthId, note: Note) {
+        let Some(pool) = self.auths.get(&id).map(|a| a.pool) else { return };
+        self.tell(now, pool, Event::Noted { request: RequestId(id.0), note });
+    }
+
+    /// Ends an authorisation whose answer was given or is not owed any more, whatever of it is out.
+    fn end(&mut self, now: Time, id: AuthId, outcome: Outcome) {
+        let Some((pool, phase)) = self.auths.get(&id).map(|a| (a.pool, a.phase)) else { return };
+        let leg = self.forget(id);
+        let attempt = match (phase, leg) {
+            // To the module an adopted connection stands by its attempt 0, however often it was tried.
+            (Phase::Adopting(..), _) => Some(0),
+            (_, leg) => leg.map(|leg| leg.number),
+        };
+        if let Some(attempt) = attempt {
+            self.effects.push(Effect::CloseLeg { auth: id });
+            let request = RequestId(id.0);
+            self.tell(now, pool, Event::Ended { request, attempt, outcome, answered: true });
+        }
+    }
+
+    fn forget(&mut self, id: AuthId) -> Option<Leg> {
+        let leg = self.drop_leg(id);
+        self.set_due(id, None);
+        self.auths.remove(&id);
+        leg
+    }
+
+    /// The acquirer side is told to come again, and both sides are closed.
+    fn move_away(&mut self, now: Time, id: AuthId, outcome: Outcome) {
+        self.effects.push(Effect::Answer { auth: id, answer: Answer::Moved });
+        self.end(now, id, outcome);
+    }
+
+    // ---- Routing table ----
+
+    fn follow(&mut self, now: Time, pool_id: PoolId, whole: bool, hosts: Vec<IssuerHost>) {
+        let Some(pool) = self.pools.get_mut(pool_id) else { return };
+        let listed = pool.table.follow(whole, hosts, &pool.setup.zones);
+        let event = if whole { Event::List(&listed) } else { Event::ListChanged(&listed) };
+        self.tell(now, pool_id, event);
+        let leaving: Vec<_> = self.at.range((pool_id, ServerId(0))..=(pool_id, ServerId(u32::MAX))).collect();
+        let table = &self.pools[pool_id].table;
+        let held = leaving.into_iter().filter(|((_, host), _)| table.ready(*host).is_none());
+        let held: Vec<(ServerId, AuthId)> =
+            held.flat_map(|((_, host), auths)| auths.iter().map(|&auth| (*host, auth))).collect();
+        for (host, id) in held {
+            let gone = self.pools[pool_id].table.any(host).is_none();
+            let Some(auth) = self.auths.get(&id) else { continue };
+            match (auth.phase, auth.leg) {
+                // Danger (drains): what is not written yet must not reach a host told to be leaving.
+                (Phase::Placing, Some(leg)) if !leg.written => {
+                    self.effects.push(Effect::CloseLeg { auth: id });
+                    self.leg_failed(now, id, Outcome::NotSent);
+                }
+                (Phase::Standing, _) if gone => self.move_away(now, id, Outcome::Reset),
+                _ => {}
+            }
+        }
+    }
+
+    // ---- Time ----
+
+    fn tick(&mut self, now: Time) {
+        while let Some(&(_, id)) = self.timers.first().filter(|(at, _)| *at <= now) {
+            self.set_due(id, None);
+            let Some(auth) = self.auths.get(&id) else { continue };
+            match (auth.phase, auth.leg) {
+                (Phase::Greeting, _) => {
+                    self.forget(id);
+                    self.effects.push(Effect::Answer { auth: id, answer: Answer::Late });
+                }
+                (Phase::Placing, leg) => {
+                    let written = leg.is_some_and(|leg| leg.written);
+                    self.effects.push(Effect::CloseLeg { auth: id });
+                    let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                    self.leg_failed(now, id, outcome);
+                }
+                (Phase::Adopting(until, host), _) => self.adopt_again(now, id, until, host),
+                (Phase::Standing, _) => self.overdue(now, id),
+            }
+        }
+        for pool in 0..self.pools.len() {
+            if self.pools[pool].wake.is_some_and(|at| at <= now) {
+                self.pools[pool].wake = None;
+                self.tell(now, pool, Event::Wake);
+            }
+        }
+    }
+
+    /// The leg of a connection that stood before the start is over, or the pause after it is.
+    fn adopt_again(&mut self, now: Time, id: AuthId, until: Time, host: ServerId) {
+        let Some(auth) = self.auths.get(&id) else { return };
+        let most = self.pools[auth.pool].setup.settings.max_attempts;
+        if now < until && auth.legs < most {
+            if self.drop_leg(id).is_some() {
+                self.effects.push(Effect::CloseLeg { auth: id });
+            }
+            self.open_leg(now, id, host, until.since(now));
+        } else {
+            self.effects.push(Effect::Answer { auth: id, answer: Answer::Failed });
+            self.end(now, id, Outcome::Reset);
+        }
+    }
+
+    /// A standing connection's timer: its host has been silent too long, or this balancer leaves.
+    fn overdue(&mut self, now: Time, id: AuthId) {
+        let Some(auth) = self.auths.get(&id) else { return };
+        let (silence, asked) = (self.pools[auth.pool].setup.silence, auth.asked);
+        if self.leaving.is_some() {
+            return self.move_away(now, id, Outcome::Cancelled);
+        }
+        // Danger: a host that vanished says nothing; its clients would wait for ever.
+        match asked.map(|at| at.plus(silence)) {
+            Some(at) if at <= now => self.move_away(now, id, Outcome::Reset),
+            at => self.set_due(id, Some(at.unwrap_or(now.plus(silence)))),
+        }
+    }
+
+    fn leave(&mut self, now: Time) {
+        if self.leaving.is_some() {
+            return;
+        }
+        let longest = self.pools.iter().map(|p| p.setup.longest_wait).max().unwrap_or(0);
+        self.leaving = Some(now.plus(longest.max(3_000_000) + 200_000));
+        let standing: Vec<AuthId> =
+            self.auths.iter().filter(|(_, a)| a.phase == Phase::Standing).map(|(&id, _)| id).collect();
+        let gap = LEAVING_OVER / standing.len().max(1) as u64;
+        for (n, id) in standing.into_iter().enumerate() {
+            self.set_due(id, Some(now.plus(LEAVING_FROM + gap * n as u64)));
+        }
+        self.effects.push(Effect::Log(format!("leaving: {} connections to move", self.auths.len())));
+    }
+
+    fn set_due(&mut self, id: AuthId, due: Option<Time>) {
+        let Some(auth) = self.auths.get_mut(&id) else { return };
+        if let Some(old) = std::mem::replace(&mut auth.due, due) {
+            self.timers.remove(&(old, id));
+        }
+        if let Some(at) = due {
+            self.timers.insert((at, id));
+        }
+    }
+
+    fn phase(&mut self, id: AuthId, phase: Phase) {
+        if let Some(auth) = self.auths.get_mut(&id) {
+            auth.phase = phase;
+        }
+    }
+
+    // ---- The module ----
+
+    /// Hands an event to a pool's balancer and carries out what it decides.
+    fn tell(&mut self, now: Time, pool: PoolId, event: Event<'_>) {
+        let mut actions = Vec::new();
+        self.pools[pool].balancer.handle(now, event, &mut actions);
+        let mut actions = VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
+            match action {
+                Action::Send { request, server, timeout } => {
+                    self.open_leg(now, AuthId(request.0), server, timeout)
+                }
+                Action::Refuse { request, retry_after } => {
+                    self.answer(AuthId(request.0), Answer::Refused(retry_after))
+                }
+                Action::Fail { request } => self.answer(AuthId(request.0), Answer::Failed),
+                Action::Cancel { request, attempt } => {
+                    let id = AuthId(request.0);
+                    if self.leg(id, attempt).is_some() {
+                        self.drop_leg(id);
+                        self.effects.push(Effect::CloseLeg { auth: id });
+                    }
+                    let mut more = Vec::new();
+                    let (outcome, answered) = (Outcome::Cancelled, true);
+                    let ended = Event::Ended { request, attempt, outcome, answered };
+                    self.pools[pool].balancer.handle(now, ended, &mut more);
+                    actions.extend(more);
+                }
+                Action::Move { request } => self.move_away(now, AuthId(request.0), Outcome::Cancelled),
+                Action::Subscribe => self.effects.push(Effect::Watch { pool }),
+                Action::WakeIn(wait) => {
+                    let at = now.plus(wait);
+                    let wake = &mut self.pools[pool].wake;
+                    *wake = Some(wake.map_or(at, |old| old.min(at)));
+                }
+                // No issuer host of this shop may be probed.
+                Action::Probe { .. } => {}
+                Action::Log(text) => self.effects.push(Effect::Log(text)),
+            }
+        }
+    }
+
+    fn answer(&mut self, id: AuthId, answer: Answer) {
+        // Danger: an authorisation that has ended in the meantime must not be answered a second time.
+        if self.auths.contains_key(&id) {
+            self.forget(id);
+            self.effects.push(Effect::Answer { auth: id, answer });
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/connection.rs
@@ -0,0 +1,365 @@
+//! One connection of the acquirer side, with the leg that is out for it.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{sleep_until, Instant};
+
+use super::hub::{Hub, Order};
+use crate::protocol::{Front, Step};
+use crate::routing::{AuthId, Input, LegEnd};
+
+/// Bytes held for a side that does not read; more are not taken from the other.
+const HELD: usize = 16 << 10;
+/// Bytes read at once.
+const PIECE: usize = 8 << 10;
+/// How long a side that was ended is waited for, so that the last lines reach it.
+const LINGER: Duration = Duration::from_millis(700);
+
+/// One end: a socket and what is still to be written to it.
+struct End {
+    stream: TcpStream,
+    out: Vec<u8>,
+    /// It sends nothing more.
+    ended: bool,
+    /// It is to be sent nothing more once `out` is written, and whether that is done.
+    finish: bool,
+    finished: bool,
+}
+
+impl End {
+    fn new(stream: TcpStream) -> End {
+        let _ = stream.set_nodelay(true);
+        End { stream, out: Vec::new(), ended: false, finish: false, finished: false }
+    }
+
+    /// Writes what it can at once.
+    fn flush(&mut self) -> io::Result<()> {
+        while !self.out.is_empty() {
+            match self.stream.try_write(&self.out) {
+                Ok(n) => drop(self.out.drain(..n)),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+        if self.finish && !self.finished {
+            self.finished = true;
+            return socket2::SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write);
+        }
+        Ok(())
+    }
+
+    /// Reads what is there: None if nothing is.
+    fn read(&self, piece: &mut [u8]) -> io::Result<Option<usize>> {
+        match self.stream.try_read(piece) {
+            Ok(n) => Ok(Some(n)),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Breaks the connection off, as the other side's was.
+    fn reset(&self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+async fn readable(end: Option<&End>) {
+    match end.filter(|end| !end.ended) {
+        Some(end) => drop(end.stream.readable().await),
+        None => std::future::pending().await,
+    }
+}
+
+async fn writable(end: Option<&End>) {
+    match end.filter(|end| !end.out.is_empty()) {
+        Some(end) => drop(end.stream.writable().await),
+        None => std::future::pending().await,
+    }
+}
+
+type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
+
+async fn connected(connecting: Option<&mut Connecting>) -> io::Result<TcpStream> {
+    match connecting {
+        Some(connecting) => connecting.await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn until(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
+struct Connection {
+    hub: Rc<Hub>,
+    auth: AuthId,
+    front: Box<dyn Front>,
+    acquirer: End,
+    /// A leg on its way, with what it is to be sent first.
+    connecting: Option<(Connecting, Vec<u8>)>,
+    leg: Option<End>,
+    number: u32,
+    /// The leg's request is written in full.
+    written: bool,
+    standing: bool,
+    /// The reducer holds nothing of it any more: what is left to write has so long.
+    over: Option<Instant>,
+    /// What the issuer host still says is for nobody.
+    discard: bool,
+}
+
+/// Takes a connection in.
+pub fn start(hub: &Rc<Hub>, pool: usize, stream: TcpStream, front: Box<dyn Front>) {
+    let (auth, orders) = hub.enter();
+    let mut connection = Connection {
+        hub: hub.clone(),
+        auth,
+        front,
+        acquirer: End::new(stream),
+        connecting: None,
+        leg: None,
+        number: 0,
+        written: false,
+        standing: false,
+        over: None,
+        discard: false,
+    };
+    hub.feed(Input::Met { auth, pool });
+    tokio::task::spawn_local(async move {
+        connection.run(orders).await;
+        connection.hub.leave(auth);
+    });
+}
+
+impl Connection {
+    async fn run(&mut self, mut orders: UnboundedReceiver<Order>) {
+        loop {
+            self.flush();
+            let leg_over = self.leg.as_ref().is_none_or(|leg| leg.finished);
+            let closed = self.acquirer.finished && self.acquirer.ended && leg_over;
+            if self.over.is_some_and(|until| closed || Instant::now() >= until) {
+                return;
+            }
+            let leg_held = self.leg.as_ref().map_or(0, |leg| leg.out.len()) + self.front.waiting();
+            let (from_acquirer, from_leg) = (leg_held < HELD, self.acquirer.out.len() < HELD);
+            tokio::select! {
+                biased;
+                order = orders.recv() => match order {
+                    Some(order) => self.obey(order),
+                    None => return,
+                },
+                stream = connected(self.connecting.as_mut().map(|(connecting, _)| connecting)) => {
+                    self.connected(stream)
+                }
+                () = writable(Some(&self.acquirer)) => {}
+                () = writable(self.leg.as_ref()) => {}
+                () = readable(self.leg.as_ref()), if from_leg => self.read_leg(),
+                () = readable(Some(&self.acquirer)), if from_acquirer => self.read_acquirer(),
+                () = until(self.over) => {}
+            }
+        }
+    }
+
+    fn obey(&mut self, order: Order) {
+        match order {
+            _ if self.over.is_some() => {}
+            Order::OpenLeg { leg, address, wait } => {
+                self.close_leg();
+                self.number = leg;
+                let request = self.front.open_leg(wait);
+                let connect = async move { TcpStream::connect(address).await };
+                self.connecting = Some((Box::pin(connect), request));
+            }
+            Order::CloseLeg => self.close_leg(),
+            Order::Answer(answer) => {
+                let words = self.front.answer(answer);
+                self.acquirer.out.extend_from_slice(&words);
+                self.discard = true;
+                self.finish();
+            }
+        }
+    }
+
+    fn close_leg(&mut self) {
+        self.connecting = None;
+        self.leg = None;
+        self.written = false;
+    }
+
+    /// Ends both sides once what is left is written.
+    fn finish(&mut self) {
+        self.acquirer.finish = true;
+        self.connecting = None;
+        if !self.written {
+            // Danger: a request that is not written yet must not reach its host any more.
+            self.leg = None;
+        }
+        if let Some(leg) = &mut self.leg {
+            leg.finish = true;
+        }
+        self.over.get_or_insert(Instant::now() + LINGER);
+    }
+
+    fn connected(&mut self, stream: io::Result<TcpStream>) {
+        let Some((_, request)) = self.connecting.take() else { return };
+        match stream {
+            Ok(stream) => {
+                let mut end = End::new(stream);
+                end.out = request;
+                self.leg = Some(end);
+                self.written = false;
+            }
+            Err(_) => self.leg_ended(LegEnd::NoConnection),
+        }
+    }
+
+    /// Writes what can be written.
+    fn flush(&mut self) {
+        if let Some(leg) = &mut self.leg {
+            let result = leg.flush();
+            if result.is_err() {
+                return self.leg_broke(true);
+            }
+            if !self.written && leg.out.is_empty() {
+                self.written = true;
+                self.hub.feed(Input::LegWritten { auth: self.auth, leg: self.number });
+            }
+        }
+        if self.acquirer.flush().is_err() {
+            self.acquirer_broke();
+        }
+    }
+
+    fn read_acquirer(&mut self) {
+        let mut piece = [0; PIECE];
+        match self.acquirer.read(&mut piece) {
+            Ok(None) => {}
+            Ok(Some(0)) => self.acquirer_ended(),
+            Ok(Some(_)) if self.over.is_some() => {}
+            Ok(Some(n)) => {
+                let mut steps = Vec::new();
+                self.front.from_acquirer(&piece[..n], &mut steps);
+                self.take(steps);
+            }
+            Err(_) => self.acquirer_broke(),
+        }
+    }
+
+    /// The acquirer side sends nothing more: it has left, and the issuer host is ended in the same way.
+    fn acquirer_ended(&mut self) {
+        self.acquirer.ended = true;
+        if self.over.is_none() {
+            if !self.standing {
+                self.close_leg();
+            }
+            self.finish();
+            self.hub.feed(Input::Left { auth: self.auth });
+        }
+    }
+
+    fn acquirer_broke(&mut self) {
+        self.acquirer.ended = true;
+        if let Some(leg) = self.leg.take().filter(|_| self.standing && !self.acquirer.finish) {
+            leg.reset();
+        }
+        if self.over.is_none() {
+            self.hub.feed(Input::Left { auth: self.auth });
+        }
+        self.over = Some(Instant::now());
+    }
+
+    fn read_leg(&mut self) {
+        let mut piece = [0; PIECE];
+        let Some(leg) = &self.leg else { return };
+        match leg.read(&mut piece) {
+            Ok(None) => {}
+            Ok(Some(0)) => self.leg_broke(false),
+            Ok(Some(_)) if self.discard => {}
+            Ok(Some(n)) => {
+                if self.standing && self.over.is_none() {
+                    self.hub.feed(Input::Heard { auth: self.auth });
+                }
+                let mut steps = Vec::new();
+                self.front.from_issuer(&piece[..n], &mut steps);
+                self.take(steps);
+            }
+            Err(_) => self.leg_broke(true),
+        }
+    }
+
+    /// The issuer host ended its side, or its connection broke.
+    fn leg_broke(&mut self, broken: bool) {
+        let Some(leg) = &mut self.leg else { return };
+        leg.ended = true;
+        if self.over.is_some() {
+            self.leg = None;
+            return;
+        }
+        if !self.standing {
+            let end = if self.written { self.front.issuer_ended(broken) } else { LegEnd::NoConnection };
+            return self.leg_ended(end);
+        }
+        let end = self.front.issuer_ended(broken);
+        let rest = self.front.held_back();
+        self.acquirer.out.extend_from_slice(&rest);
+        if broken {
+            // What was read before the break still goes out.
+            let _ = self.acquirer.flush();
+            self.acquirer.reset();
+            self.acquirer.ended = true;
+        }
+        self.leg = None;
+        self.finish();
+        if broken {
+            self.over = Some(Instant::now());
+        }
+        self.hub.feed(Input::LegEnded { auth: self.auth, leg: self.number, end });
+    }
+
+    /// A leg came to nothing before its connection stood.
+    fn leg_ended(&mut self, end: LegEnd) {
+        self.close_leg();
+        if end == LegEnd::Verdict {
+            self.finish();
+        }
+        self.hub.feed(Input::LegEnded { auth: self.auth, leg: self.number, end });
+    }
+
+    fn take(&mut self, steps: Vec<Step>) {
+        let auth = self.auth;
+        for step in steps {
+            match step {
+                Step::ToAcquirer(bytes) => self.acquirer.out.extend_from_slice(&bytes),
+                Step::ToIssuer(bytes) => {
+                    if let Some(leg) = &mut self.leg {
+                        leg.out.extend_from_slice(&bytes);
+                    }
+                    if self.standing {
+                        self.hub.feed(Input::Asked { auth });
+                    }
+                }
+                _ if self.over.is_some() => {}
+                Step::Authorise(ask) => self.hub.feed(Input::Authorise { auth, ask }),
+                Step::Up => {
+                    self.standing = true;
+                    self.hub.feed(Input::LegUp { auth, leg: self.number });
+                }
+                Step::Load(load) => self.hub.feed(Input::Load { auth, load }),
+                Step::LegEnded(end) => self.leg_ended(end),
+                Step::Close => {
+                    self.finish();
+                    self.hub.feed(Input::Left { auth });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/watch.rs
@@ -0,0 +1,94 @@
+//! The watch on discovery's routing table: asked for by the reducer, renewed as long as it holds.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::hub::Hub;
+use crate::protocol::http::{self, News};
+use crate::routing::Input;
+
+/// A call waits so long for something new.
+const HOLD: Duration = Duration::from_secs(10);
+/// Beyond its hold, a call that has had no answer after this long has failed.
+const LATE: Duration = Duration::from_millis(2500);
+
+/// A connection to discovery, kept from call to call: the next has to come within 200 ms.
+struct Line {
+    stream: TcpStream,
+    read: Vec<u8>,
+}
+
+/// Follows a routing table for ever.
+pub async fn follow(
+    hub: Rc<Hub>,
+    pool: usize,
+    discovery: SocketAddr,
+    mut generation: u64,
+    mut wanted: mpsc::Receiver<()>,
+) {
+    let mut line = None;
+    while wanted.recv().await.is_some() {
+        // Once asked for, the watch goes on until a call fails; then the reducer says when to ask again.
+        loop {
+            let call = call(&mut line, discovery, generation);
+            match timeout(HOLD + LATE, call).await.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
+                Ok(News { generation: new, whole, hosts }) => {
+                    generation = new;
+                    hub.feed(Input::Table { pool, whole, hosts });
+                }
+                Err(problem) => {
+                    crate::log!(warn, "routing table: {problem}");
+                    line = None;
+                    break hub.feed(Input::TableLost { pool });
+                }
+            }
+        }
+    }
+}
+
+async fn call(line: &mut Option<Line>, discovery: SocketAddr, generation: u64) -> Result<News, String> {
+    let fresh = line.is_none();
+    match exchange(line, discovery, generation).await {
+        // Danger: a kept connection may have been closed by discovery between two calls.
+        Err(_) if !fresh => {
+            *line = None;
+            exchange(line, discovery, generation).await
+        }
+        result => result,
+    }
+}
+
+async fn exchange(line: &mut Option<Line>, discovery: SocketAddr, generation: u64) -> Result<News, String> {
+    let broken = |e: std::io::Error| format!("discovery: {e}");
+    if line.is_none() {
+        let stream = TcpStream::connect(discovery).await.map_err(broken)?;
+        let _ = stream.set_nodelay(true);
+        *line = Some(Line { stream, read: Vec::new() });
+    }
+    let Some(open) = line.as_mut() else { return Err("no connection".to_owned()) };
+    let request = http::call(&discovery.to_string(), Some((generation, HOLD.as_millis() as u64)));
+    open.stream.write_all(&request).await.map_err(broken)?;
+    let answer = loop {
+        let ended = open.stream.read_buf(&mut open.read).await.map_err(broken)? == 0;
+        if let Some(answer) = http::answer(&open.read, ended).map_err(|fault| fault.to_string())? {
+            break answer;
+        }
+        if ended {
+            return Err("discovery hung up".to_owned());
+        }
+    };
+    open.read.drain(..answer.taken);
+    if answer.close {
+        *line = None;
+    }
+    match answer.status {
+        200 => http::news_text(&answer.body).map_err(|fault| fault.to_string()),
+        status => Err(format!("discovery answered {status}")),
+    }
+}
