--- a/src/program/commands.rs
+++ b/src/program/commands.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 
-use super::config;
+use super::config::{self, Config};
 use crate::transport;
 
 /// A connection balancer for the shop platform and IRC.
@@ -20,6 +20,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Drain(Drain),
     Version(Version),
 }
 
@@ -27,18 +28,39 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
-    /// configuration file (default: $NODE_CONFIG)
+    /// configuration of the platform's front (default: $NODE_CONFIG)
     #[argh(option)]
     config: Option<PathBuf>,
+    /// operator's file of the IRC front, such as deploy/irc.json (default: no IRC)
+    #[argh(option)]
+    irc: Option<PathBuf>,
 }
 
 /// Read and check the configuration, and say what is wrong with it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 struct Check {
-    /// configuration file (default: $NODE_CONFIG)
+    /// configuration of the platform's front (default: $NODE_CONFIG)
     #[argh(option)]
     config: Option<PathBuf>,
+    /// operator's file of the IRC front, such as deploy/irc.json (default: no IRC)
+    #[argh(option)]
+    irc: Option<PathBuf>,
+}
+
+/// Have an issuer host drained: written at one node's store, it takes effect at all of them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct Drain {
+    /// name of the issuer host
+    #[argh(positional)]
+    host: String,
+    /// address of any node's store on this machine
+    #[argh(option)]
+    store: std::net::SocketAddr,
+    /// take the host back into use
+    #[argh(switch)]
+    undo: bool,
 }
 
 /// Print the version.
@@ -46,19 +68,30 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn path(given: Option<PathBuf>) -> Result<PathBuf, String> {
-    let from_env = || std::env::var_os("NODE_CONFIG").map(PathBuf::from);
-    given
-        .or_else(from_env)
-        .ok_or_else(|| "no configuration: give --config FILE or set NODE_CONFIG".to_owned())
+fn read(config: Option<PathBuf>, irc: Option<PathBuf>) -> Result<Config, String> {
+    let config = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
+    config::read(config.as_deref(), irc.as_deref())
 }
 
 fn carry_out(command: Command) -> Result<(), String> {
     match command {
-        Command::Serve(serve) => transport::serve(config::read(&path(serve.config)?)?),
+        Command::Serve(serve) => transport::serve(read(serve.config, serve.irc)?),
         Command::Check(check) => {
-            let config = config::read(&path(check.config)?)?;
-            println!("{}: sound; listens on {}", config.name, config.listen);
+            let config = read(check.config, check.irc)?;
+            if let Some(platform) = config.platform {
+                let hosts = platform.known.hosts.len();
+                println!("platform: sound; {} on {}, {hosts} hosts known", platform.name, platform.listen);
+            }
+            if let Some(irc) = config.irc {
+                println!("irc: sound; {} on {}, {} hosts", irc.setup.name, irc.listen, irc.hosts.len());
+            }
+            Ok(())
+        }
+        Command::Drain(drain) => {
+            let value = (!drain.undo).then(|| "draining".to_owned());
+            let entry = transport::write_at(drain.store, &format!("life/{}", drain.host), value)?;
+            let does = if drain.undo { "is back in use" } else { "drains" };
+            println!("{} {does}; written at node {} as {}", drain.host, entry.node, entry.counter);
             Ok(())
         }
         Command::Version(_) => {
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -2,11 +2,13 @@
 //! the key that holds it.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use crate::protocol::http::{self, News};
+use crate::protocol::irc;
 use crate::protocol::json::{self, Fault, Place};
-use crate::routing::PoolSetup;
+use crate::routing::store::LONGEST_NODE;
+use crate::routing::{IssuerHost, Lifecycle, PoolSetup};
 use crate::{Class, Micros, Repeat, Scope, Settings, Tenant, ZoneId};
 
 /// The acquirer side of the platform has so long for its first line.
@@ -15,17 +17,39 @@
 /// standing connection's host is taken to be lost. 7 s are allowed.
 const PLATFORM_SILENCE: Micros = 5_000_000;
 
-/// All that a daemon is told.
+/// All that a daemon is told: at least one front.
 #[derive(Debug)]
 pub struct Config {
-    /// Its name.
+    /// The platform's front.
+    pub platform: Option<Platform>,
+    /// The IRC front.
+    pub irc: Option<Irc>,
+    /// The store, where an operator's file sets one up.
+    pub store: Option<StoreConfig>,
+}
+
+/// What the store is told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreConfig {
+    /// Name of this node.
+    pub node: String,
+    /// Where it hears the others' stores, and operators' commands.
+    pub listen: SocketAddr,
+    /// The others.
+    pub peers: Vec<SocketAddr>,
+    /// Where it keeps what it holds; without it, in memory only.
+    pub data: Option<PathBuf>,
+}
+
+/// What the platform's front is told.
+#[derive(Debug)]
+pub struct Platform {
+    /// Its balancer's name.
     pub name: String,
     /// Where the platform's acquirer side connects.
     pub listen: SocketAddr,
     /// Discovery.
     pub discovery: SocketAddr,
-    /// File descriptors it may hold.
-    pub sockets: usize,
     /// The routing table as last held.
     pub known: News,
     /// The platform's pool.
@@ -37,26 +61,165 @@
     std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// Reads and checks a configuration file.
-pub fn read(path: &Path) -> Result<Config, String> {
-    parse(&read_file(path)?).map_err(|fault| format!("{}: {fault}", path.display()))
+/// Reads and checks the platform's configuration and an operator's, as far as given.
+pub fn read(platform: Option<&Path>, irc: Option<&Path>) -> Result<Config, String> {
+    fn file<T>(path: Option<&Path>, parse: impl Fn(&[u8]) -> Result<T, Fault>) -> Result<Option<T>, String> {
+        let Some(path) = path else { return Ok(None) };
+        parse(&read_file(path)?).map(Some).map_err(|fault| format!("{}: {fault}", path.display()))
+    }
+    let operator = file(irc, parse_operator)?;
+    let (irc, store) = operator.map_or((None, None), |operator| (Some(operator.irc), operator.store));
+    let config = Config { platform: file(platform, parse_platform)?, irc, store };
+    if config.platform.is_none() && config.irc.is_none() {
+        return Err("no front to serve: give --config FILE, set NODE_CONFIG or give --irc FILE".to_owned());
+    }
+    Ok(config)
 }
 
-/// Reads and checks the text of a configuration.
-pub fn parse(text: &[u8]) -> Result<Config, Fault> {
+/// Reads and checks the text of the platform's configuration.
+pub fn parse_platform(text: &[u8]) -> Result<Platform, Fault> {
     let document = json::document(text)?;
     let root = Place::root(&document);
     let known = root.at("known");
-    Ok(Config {
+    Ok(Platform {
         name: root.at("name").text()?.unwrap_or_else(|| "sagemount".to_owned()),
         listen: address(&root.at("listen"))?,
         discovery: address(&root.at("discovery"))?,
-        sockets: root.at("limits").at("sockets").number(1024.0)? as usize,
         known: http::news(&known)?,
         pool: pool(&root.at("settings"), seed(&root.at("seed"))?)?,
     })
 }
 
+/// What the IRC front is told.
+#[derive(Debug)]
+pub struct Irc {
+    /// Where its acquirer side connects.
+    pub listen: SocketAddr,
+    /// How it speaks.
+    pub setup: irc::Setup,
+    /// Its issuer hosts.
+    pub hosts: Vec<IssuerHost>,
+    /// Its pool.
+    pub pool: PoolSetup,
+}
+
+/// An operator's file.
+#[derive(Debug)]
+pub struct Operator {
+    /// The IRC front.
+    pub irc: Irc,
+    /// The store.
+    pub store: Option<StoreConfig>,
+}
+
+/// Reads and checks the text of an operator's file.
+pub fn parse_operator(text: &[u8]) -> Result<Operator, Fault> {
+    let document = json::document(text)?;
+    let root = Place::root(&document);
+    let known = [
+        "listen",
+        "name",
+        "public",
+        "seed",
+        "class",
+        "tenant",
+        "capabilities",
+        "balancers",
+        "limits",
+        "drain_over_ms",
+        "zone",
+        "zones",
+        "hosts",
+        "store",
+    ];
+    root.only(&known)?;
+    let listen = address(&root.at("listen"))?;
+    let public = if root.at("public").exists() { address(&root.at("public"))? } else { listen };
+    let class = root.at("class");
+    class.only(&["name", "worth", "setup_aim_ms", "give_up_ms"])?;
+    let limits = root.at("limits");
+    limits.only(&["legs", "connect_ms", "retry_after_ms", "warm_up_ms", "cold_share", "connections"])?;
+    let name = class.at("name").text()?.unwrap_or_else(|| "irc".to_owned());
+    let tenant = root.at("tenant").text()?;
+    let give_up = class.at("give_up_ms").millis(10_000_000)?;
+    let default = Settings::default();
+    let zones = root.at("zones").texts()?;
+    let zone = root.at("zone").text()?;
+    let zone = zones.iter().position(|z| Some(z) == zone.as_ref()).unwrap_or(0);
+    let settings = Settings {
+        balancers: root.at("balancers").number(1.0)?.max(1.0) as u32,
+        zone: ZoneId(zone as u16),
+        classes: vec![Class {
+            worth: class.at("worth").number(1.0)?,
+            setup_aim: class.at("setup_aim_ms").millis(give_up / 4)?,
+            message_aim: 0,
+            repeat: Repeat::Safe,
+        }],
+        tenants: tenant.iter().map(|_| Tenant::default()).collect(),
+        max_attempts: limits.at("legs").number(6.0)?.clamp(1.0, 6.0) as u32,
+        cancel: true,
+        retry_after: true,
+        max_retry_after: limits.at("retry_after_ms").millis(10_000_000)?,
+        connect_timeout: limits.at("connect_ms").millis(1_000_000)?,
+        cold_share: limits.at("cold_share").number(default.cold_share)?,
+        warm_up: limits.at("warm_up_ms").millis(default.warm_up)?,
+        ..default
+    };
+    let irc = Irc {
+        listen,
+        setup: irc::Setup {
+            name: root.at("name").text()?.unwrap_or_else(|| "irc.sagemount".to_owned()),
+            address: (public.ip().to_string(), public.port()),
+            class: name.clone(),
+            tenant: tenant.clone(),
+            capabilities: root.at("capabilities").texts()?,
+        },
+        hosts: root.at("hosts").items()?.iter().map(irc_host).collect::<Result<_, _>>()?,
+        pool: PoolSetup {
+            classes: vec![name],
+            tenants: tenant.into_iter().collect(),
+            zones,
+            settings,
+            seed: seed(&root.at("seed"))?,
+            greeting: give_up,
+            from_store: true,
+            most_held: limits.at("connections").number(10_000.0)? as usize,
+            drain_over: root.at("drain_over_ms").millis(20_000_000)?,
+            silence: 0,
+            tells_delay: false,
+            longest_wait: give_up,
+        },
+    };
+    Ok(Operator { irc, store: store(&root.at("store"))? })
+}
+
+fn store(place: &Place<'_>) -> Result<Option<StoreConfig>, Fault> {
+    place.only(&["node", "listen", "peers", "data"])?;
+    if !place.exists() {
+        return Ok(None);
+    }
+    let node = place.at("node").must_text()?;
+    if node.len() > LONGEST_NODE {
+        return Err(place.at("node").fault("at most 32 bytes are wanted"));
+    }
+    let peers = place.at("peers").items()?.iter().map(address).collect::<Result<_, _>>()?;
+    let data = place.at("data").text()?.map(PathBuf::from);
+    Ok(Some(StoreConfig { node, listen: address(&place.at("listen"))?, peers, data }))
+}
+
+fn irc_host(host: &Place<'_>) -> Result<IssuerHost, Fault> {
+    host.only(&["name", "address", "zone", "weight"])?;
+    Ok(IssuerHost {
+        name: host.at("name").must_text()?,
+        address: address(&host.at("address"))?.to_string(),
+        zone: host.at("zone").text()?.unwrap_or_default(),
+        cell: 0,
+        lifecycle: Lifecycle::Ready,
+        weight: host.at("weight").number(1.0)?,
+        started: None,
+    })
+}
+
 /// An address with its port, in figures: there is no DNS.
 pub fn address(place: &Place<'_>) -> Result<SocketAddr, Fault> {
     place
@@ -82,6 +245,9 @@
         settings: default.clone(),
         seed,
         greeting: PLATFORM_GREETING,
+        from_store: false,
+        most_held: usize::MAX,
+        drain_over: 0,
         silence: PLATFORM_SILENCE,
         tells_delay: info.at("tells-delay").flag(false)?,
         longest_wait: 0,
--- a/src/protocol/json.rs
+++ b/src/protocol/json.rs
@@ -56,10 +56,14 @@
         Fault { key: self.path.clone(), what: what.to_owned() }
     }
 
-    /// Names of the keys there.
-    pub fn keys(&self) -> Vec<String> {
-        let object = self.value.and_then(|v| v.as_object());
-        object.map_or_else(Vec::new, |object| object.keys().cloned().collect())
+    /// Complains of a key that is not one of these: a slip of the pen must not pass for a default.
+    pub fn only(&self, known: &[&str]) -> Result<(), Fault> {
+        let Some(value) = self.value else { return Ok(()) };
+        let object = value.as_object().ok_or_else(|| self.fault("an object is wanted"))?;
+        match object.keys().find(|key| !known.contains(&key.as_str())) {
+            Some(key) => Err(self.at(key).fault("no such key is known")),
+            None => Ok(()),
+        }
     }
 
     /// The items of a list; none where there is no list.
--- a/src/protocol/lines.rs
+++ b/src/protocol/lines.rs
@@ -16,7 +16,7 @@
 pub enum Cut {
     /// A line, without its end.
     Line(Vec<u8>),
-    /// More bytes than a line may have, and no end of it.
+    /// More bytes than a line may have, which stay for [`Lines::drop_line`].
     TooLong,
     /// No complete line yet.
     None,
@@ -47,28 +47,73 @@
         std::mem::take(&mut self.held)
     }
 
-    /// Takes all complete lines as they are, with their ends.
-    pub fn take_complete(&mut self) -> Vec<u8> {
+    fn take_complete(&mut self) -> Vec<u8> {
         let end = self.held.iter().rposition(|&b| b == b'\n').map_or(0, |at| at + 1);
         self.held.drain(..end).collect()
     }
 
+    /// Drops all that waits up to the end of the line; whether that end was there.
+    pub fn drop_line(&mut self) -> bool {
+        let end = self.held.iter().position(|&b| b == b'\n');
+        self.held.drain(..end.map_or(self.held.len(), |at| at + 1));
+        end.is_some()
+    }
+
     /// The next line of at most so many bytes, its end included.
     pub fn next(&mut self, most: usize) -> Cut {
         let mut input = Partial::new(&self.held[..]);
         match line(&mut input) {
             Ok(found) => {
-                let (length, too_long) = (found.len() + 1, found.len() + 1 > most);
+                if found.len() + 1 > most {
+                    return Cut::TooLong;
+                }
+                let length = found.len() + 1;
                 let text = found.strip_suffix(b"\r").unwrap_or(found).to_vec();
                 self.held.drain(..length);
-                if too_long {
-                    Cut::TooLong
-                } else {
-                    Cut::Line(text)
-                }
+                Cut::Line(text)
             }
             Err(_) if self.held.len() >= most => Cut::TooLong,
             Err(_) => Cut::None,
         }
     }
 }
+
+/// Passes lines on whole, so that something may be put between two of them; only what is too long to hold
+/// goes on in pieces.
+#[derive(Default, Debug)]
+pub struct Relay {
+    lines: Lines,
+    mid_line: bool,
+}
+
+impl Relay {
+    /// Whether an unfinished line has been passed on in part: nothing may be put in.
+    pub fn mid_line(&self) -> bool {
+        self.mid_line
+    }
+
+    /// More bytes came: what of it goes on, the rest of a too long line apart from the complete lines.
+    pub fn pass(&mut self, bytes: &[u8], most: usize) -> (Vec<u8>, Vec<u8>) {
+        self.lines.push(bytes);
+        let mut rest = Vec::new();
+        if self.mid_line {
+            let all = self.lines.take();
+            let end = all.iter().position(|&b| b == b'\n').map_or(all.len(), |at| at + 1);
+            self.mid_line = !all[..end].ends_with(b"\n");
+            rest.extend_from_slice(&all[..end]);
+            self.lines.push(&all[end..]);
+        }
+        let lines = self.lines.take_complete();
+        if self.lines.len() > most {
+            // Danger: a line without end would be held for ever, and all memory with it.
+            self.mid_line = true;
+            return (rest, [lines, self.lines.take()].concat());
+        }
+        (rest, lines)
+    }
+
+    /// Takes what is held of an unfinished line.
+    pub fn take(&mut self) -> Vec<u8> {
+        self.lines.take()
+    }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,8 @@
 //! Parsers and encoders, without sockets. Each front is a small state machine over bytes.
 
+pub mod gossip;
 pub mod http;
+pub mod irc;
 pub mod json;
 pub mod lines;
 pub mod platform;
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -7,7 +7,7 @@
 use winnow::token::{rest, take_till, take_while};
 use winnow::{ModalResult, Parser};
 
-use super::lines::{Cut, Lines};
+use super::lines::{Cut, Lines, Relay};
 use super::{Front, Step, LONGEST_LINE};
 use crate::routing::{Answer, Authorisation, LegEnd};
 use crate::Micros;
@@ -66,7 +66,7 @@
                     before = line[..from].to_vec();
                     after = Some(line[from + value.len()..].to_vec());
                     let most = 86_400_000.0;
-                    ask.wait = number().map_or(0, |ms| (ms.clamp(0.0, most) * 1000.0) as Micros);
+                    ask.wait = number().map(|ms| (ms.clamp(0.0, most) * 1000.0) as Micros);
                 }
                 _ => {}
             }
@@ -92,15 +92,16 @@
     parsed.unwrap_or(Word::Other)
 }
 
-#[derive(Debug, PartialEq)]
+#[derive(Debug, Default, PartialEq)]
 enum Phase {
+    #[default]
     Greeting,
     Placing,
     Standing,
 }
 
 /// One connection.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Connection {
     phase: Phase,
     acquirer: Lines,
@@ -109,21 +110,7 @@
     request: (Vec<u8>, Option<Vec<u8>>),
     /// What the issuer host's last word said of the leg's end.
     ended: Option<LegEnd>,
-    /// The acquirer side holds an unfinished line: nothing may be put in.
-    mid_line: bool,
-}
-
-impl Default for Connection {
-    fn default() -> Self {
-        Connection {
-            phase: Phase::Greeting,
-            acquirer: Lines::default(),
-            issuer: Lines::default(),
-            request: Default::default(),
-            ended: None,
-            mid_line: false,
-        }
-    }
+    relay: Relay,
 }
 
 impl Connection {
@@ -171,17 +158,8 @@
         }
     }
 
-    fn relay(&mut self, steps: &mut Vec<Step>) {
-        let mut pass = Vec::new();
-        if self.mid_line {
-            // The rest of a line that was too long to hold goes through as it comes.
-            let all = self.issuer.take();
-            let end = all.iter().position(|&b| b == b'\n').map_or(all.len(), |at| at + 1);
-            self.mid_line = !all[..end].ends_with(b"\n");
-            pass.extend_from_slice(&all[..end]);
-            self.issuer.push(&all[end..]);
-        }
-        let lines = self.issuer.take_complete();
+    fn relay(&mut self, bytes: &[u8], steps: &mut Vec<Step>) {
+        let (rest, lines) = self.relay.pass(bytes, LONGEST_LINE);
         for line in lines.split_inclusive(|&b| b == b'\n') {
             match issuer_word(line.trim_ascii_end()) {
                 Word::Load(load) => steps.push(Step::Load(load)),
@@ -190,11 +168,7 @@
                 _ => {}
             }
         }
-        pass.extend_from_slice(&lines);
-        if self.issuer.len() > LONGEST_LINE {
-            pass.extend_from_slice(&self.issuer.take());
-            self.mid_line = true;
-        }
+        let pass = [rest, lines].concat();
         if !pass.is_empty() {
             steps.push(Step::ToAcquirer(pass));
         }
@@ -223,12 +197,14 @@
     }
 
     fn issuer_sent(&mut self, bytes: &[u8], steps: &mut Vec<Step>) {
-        self.issuer.push(bytes);
-        if self.phase != Phase::Standing {
-            self.verdict(steps);
+        if self.phase == Phase::Standing {
+            return self.relay(bytes, steps);
         }
+        self.issuer.push(bytes);
+        self.verdict(steps);
         if self.phase == Phase::Standing {
-            self.relay(steps);
+            let more = self.issuer.take();
+            self.relay(&more, steps);
         }
     }
 
@@ -243,13 +219,13 @@
             Answer::Failed => b"ERR\r\n".to_vec(),
             Answer::Late => Vec::new(),
             // Danger: put inside a line it would be read as part of it.
-            Answer::Moved if self.mid_line => Vec::new(),
+            Answer::Moved if self.relay.mid_line() => Vec::new(),
             Answer::Moved => b"MOVE\r\n".to_vec(),
         }
     }
 
     fn held_back(&mut self) -> Vec<u8> {
-        self.issuer.take()
+        self.relay.take()
     }
 
     fn waiting(&self) -> usize {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -5,10 +5,13 @@
 //! shop's terms meet the module's: an authorisation is its request, a leg its attempt, an issuer host
 //! its server.
 
+pub mod store;
 mod table;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 
+use store::{Entry, Gossip, Letter, Store};
 pub use table::{host_number, IssuerHost, Lifecycle, RoutingTable};
 
 use crate::{
@@ -31,6 +34,9 @@
 const SLOW_FACTOR: f64 = 2.5;
 const SLOW_GAP: Micros = 1_300_000;
 
+/// Between two digests that a node sends.
+const GOSSIP_GAP: Micros = 500_000;
+
 /// One authorisation: a connection of the acquirer side, from its accept to its end. Never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AuthId(pub u64);
@@ -49,8 +55,9 @@
     pub group: Option<u64>,
     /// Its usual load.
     pub load: Option<f64>,
-    /// How long the acquirer side waits from now on.
-    pub wait: Micros,
+    /// How long the acquirer side waits from now on; where it does not say, what is left of the time it
+    /// had to ask.
+    pub wait: Option<Micros>,
     /// It stood already, at this issuer host.
     pub standing_at: Option<String>,
 }
@@ -113,6 +120,8 @@
     Table { pool: PoolId, whole: bool, hosts: Vec<IssuerHost> },
     /// The watch on it broke, or could not be had.
     TableLost { pool: PoolId },
+    /// Another node's store, or an operator's command, sent this.
+    Gossip { from: SocketAddr, gossip: Gossip },
     /// This balancer is to leave.
     Leave,
     /// Time has come to something.
@@ -130,12 +139,27 @@
     Answer { auth: AuthId, answer: Answer },
     /// Watch a routing table, telling what was missed first.
     Watch { pool: PoolId },
+    /// Send this to another node's store, or to whoever gave a command.
+    Tell(Letter),
+    /// Put an entry of the store where it outlives the process.
+    Keep { key: String, entry: Entry },
     /// A line for the log.
     Log(String),
     /// Nothing is held any more: the balancer may go.
     Exit,
 }
 
+/// What the store is set up with.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StoreSetup {
+    /// Name of this node, which no other may have.
+    pub node: String,
+    /// The others' stores.
+    pub peers: Vec<SocketAddr>,
+    /// What was kept of an earlier life.
+    pub kept: Vec<(String, Entry)>,
+}
+
 /// What a pool is set up with.
 #[derive(Clone, Debug)]
 pub struct PoolSetup {
@@ -149,6 +173,11 @@
     pub seed: u64,
     /// The acquirer side has so long to ask.
     pub greeting: Micros,
+    /// The store may add issuer hosts, and says how many connections may be held; where it does not, so many.
+    pub from_store: bool,
+    pub most_held: usize,
+    /// Clients of a draining host are moved over this time; 0 where hosts send them away by themselves.
+    pub drain_over: Micros,
     /// A standing connection whose host stays silent so long after a line is moved; 0 for never.
     pub silence: Micros,
     /// Hosts tell how long messages take.
@@ -161,6 +190,9 @@
     setup: PoolSetup,
     balancer: Balancer,
     table: RoutingTable,
+    /// The hosts as discovery or the operator's file lists them, before the store has its say.
+    listed: BTreeMap<String, IssuerHost>,
+    held: usize,
     wake: Option<Time>,
     /// Sum and number of the loads told so far.
     loads: (f64, f64),
@@ -196,6 +228,9 @@
     leg: Option<Leg>,
     /// Its one timer.
     due: Option<Time>,
+    /// When it connected, and when it is to be moved.
+    met: Time,
+    move_at: Option<Time>,
     /// When the first line went to the host that has had no answer since.
     asked: Option<Time>,
 }
@@ -210,6 +245,11 @@
     /// When it goes at the latest, once it leaves.
     leaving: Option<Time>,
     effects: Vec<Effect>,
+    store: Store,
+    peers: Vec<SocketAddr>,
+    /// Whose turn it is to be sent a digest, and when.
+    next_peer: usize,
+    gossip_at: Option<Time>,
 }
 
 /// Takes in what happened and returns what is to be done. The only way in which the state changes.
@@ -220,10 +260,16 @@
 
 impl State {
     /// A balancer that has been told its pools and nothing else.
-    pub fn new(pools: Vec<PoolSetup>, now: Time) -> State {
+    pub fn new(pools: Vec<PoolSetup>, store: StoreSetup, now: Time) -> State {
+        let mut map = Store::new(&store.node);
+        for (key, entry) in store.kept {
+            map.take(&key, entry);
+        }
         let pool = |setup: PoolSetup| Pool {
             balancer: Balancer::new(setup.settings.clone(), setup.seed, now),
             table: RoutingTable::default(),
+            listed: BTreeMap::new(),
+            held: 0,
             wake: None,
             loads: (0.0, 0.0),
             slow: BTreeMap::new(),
@@ -236,18 +282,23 @@
             at: BTreeMap::new(),
             leaving: None,
             effects: Vec::new(),
+            store: map,
+            gossip_at: (!store.peers.is_empty()).then_some(now),
+            peers: store.peers,
+            next_peer: 0,
         }
     }
 
     /// When [`Input::Tick`] is wanted next.
     pub fn next_due(&self) -> Option<Time> {
         let wakes = self.pools.iter().filter_map(|pool| pool.wake);
-        wakes.chain(self.timers.first().map(|&(at, _)| at)).chain(self.leaving).min()
+        let timers = self.timers.first().map(|&(at, _)| at);
+        wakes.chain(timers).chain(self.leaving).chain(self.gossip_at).min()
     }
 
-    /// Connections held, and legs out to an issuer host: for gauges and tests.
-    pub fn held(&self) -> usize {
-        self.auths.len()
+    /// What the store holds: for tests.
+    pub fn store(&self) -> &Store {
+        &self.store
     }
 
     fn take(&mut self, now: Time, input: Input) {
@@ -272,6 +323,7 @@
             Input::Load { auth, load } => self.told(now, auth, load),
             Input::Table { pool, whole, hosts } => self.follow(now, pool, whole, hosts),
             Input::TableLost { pool } => self.tell(now, pool, Event::ListFailed),
+            Input::Gossip { from, gossip } => self.gossip(now, from, gossip),
             Input::Leave => self.leave(now),
             Input::Tick => self.tick(now),
         }
@@ -284,21 +336,39 @@
     // ---- The acquirer side ----
 
     fn met(&mut self, now: Time, id: AuthId, pool: PoolId) {
-        let Some(greeting) = self.pools.get(pool).map(|p| p.setup.greeting) else { return };
-        let auth = Auth { pool, phase: Phase::Greeting, legs: 0, leg: None, due: None, asked: None };
+        let Some(entered) = self.pools.get_mut(pool) else { return };
+        entered.held += 1;
+        let greeting = entered.setup.greeting;
+        let auth = Auth {
+            pool,
+            phase: Phase::Greeting,
+            legs: 0,
+            leg: None,
+            due: None,
+            met: now,
+            move_at: None,
+            asked: None,
+        };
         self.auths.insert(id, auth);
         self.set_due(id, Some(now.plus(greeting)));
     }
 
     fn authorise(&mut self, now: Time, id: AuthId, ask: Authorisation) {
         let Some(auth) = self.auths.get(&id).filter(|a| a.phase == Phase::Greeting) else { return };
-        let pool_id = auth.pool;
+        let (pool_id, met) = (auth.pool, auth.met);
+        let greeting = self.pools[pool_id].setup.greeting;
         if self.leaving.is_some() {
             // What still arrives at a balancer that leaves is answered, and told to come again.
             self.forget(id);
             return self.effects.push(Effect::Answer { auth: id, answer: Answer::Refused(LEAVING_WAIT) });
         }
         let pool = &self.pools[pool_id];
+        let limit = self.store.get("limit/connections").filter(|_| pool.setup.from_store);
+        if pool.held > limit.and_then(|text| text.parse().ok()).unwrap_or(pool.setup.most_held) {
+            let wait = pool.setup.settings.max_retry_after / 2;
+            self.forget(id);
+            return self.effects.push(Effect::Answer { auth: id, answer: Answer::Refused(wait) });
+        }
         let index = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let class = ClassId(index(&pool.setup.classes, &ask.class).unwrap_or(usize::MAX) as u16);
         let tenant = ask.tenant.as_deref().and_then(|name| index(&pool.setup.tenants, name));
@@ -307,7 +377,7 @@
         self.set_due(id, None);
         let Some(name) = ask.standing_at else {
             self.phase(id, Phase::Placing);
-            let deadline = now.plus(ask.wait);
+            let deadline = ask.wait.map_or(met.plus(greeting), |wait| now.plus(wait));
             let event = Event::Arrived { request, class, tenant, group, load, deadline };
             return self.tell(now, pool_id, event);
         };
@@ -359,12 +429,8 @@
         let Some(auth) = self.auths.get_mut(&id).filter(|a| a.phase != Phase::Standing) else { return };
         let (pool, placed) = (auth.pool, auth.phase == Phase::Placing);
         auth.phase = Phase::Standing;
-        let silence = self.pools[pool].setup.silence;
-        let due = match self.leaving {
-            Some(at) => Some(at.min(now.plus(LEAVING_FROM))),
-            None => (silence > 0).then(|| now.plus(silence)),
-        };
-        self.set_due(id, due);
+        auth.move_at = self.leaving.map(|at| at.min(now.plus(LEAVING_FROM)));
+        self.watch_over(now, id);
         if placed {
             self.tell(now, pool, Event::Started { request: RequestId(id.0), attempt: number });
         }
@@ -375,8 +441,9 @@
             return;
         }
         let outcome = match end {
-            LegEnd::Served => Outcome::Ok,
-            LegEnd::SentAway | LegEnd::Verdict => Outcome::Cancelled,
+            // A verdict is an answer as good as any: the host is sound.
+            LegEnd::Served | LegEnd::Verdict => Outcome::Ok,
+            LegEnd::SentAway => Outcome::Cancelled,
             LegEnd::Error => Outcome::Error,
             LegEnd::TurnedAway => Outcome::Full,
             LegEnd::NoConnection => Outcome::ConnectFailed,
@@ -460,7 +527,9 @@
     fn forget(&mut self, id: AuthId) -> Option<Leg> {
         let leg = self.drop_leg(id);
         self.set_due(id, None);
-        self.auths.remove(&id);
+        if let Some(auth) = self.auths.remove(&id) {
+            self.pools[auth.pool].held -= 1;
+        }
         leg
     }
 
@@ -474,14 +543,43 @@
 
     fn follow(&mut self, now: Time, pool_id: PoolId, whole: bool, hosts: Vec<IssuerHost>) {
         let Some(pool) = self.pools.get_mut(pool_id) else { return };
-        let listed = pool.table.follow(whole, hosts, &pool.setup.zones);
-        let event = if whole { Event::List(&listed) } else { Event::ListChanged(&listed) };
-        self.tell(now, pool_id, event);
+        if whole {
+            pool.listed.clear();
+        }
+        for host in hosts {
+            match host.lifecycle {
+                Lifecycle::Gone => drop(pool.listed.remove(&host.name)),
+                _ => drop(pool.listed.insert(host.name.clone(), host)),
+            }
+        }
+        self.refresh(now, pool_id);
+    }
+
+    /// Makes the routing table anew from what is listed and what the store says of it.
+    fn refresh(&mut self, now: Time, pool_id: PoolId) {
+        let pool = &mut self.pools[pool_id];
+        let mut hosts = pool.listed.clone();
+        if pool.setup.from_store {
+            let added = self.store.under("host/").filter_map(|(name, text)| table::stored_host(name, text));
+            hosts.extend(added.map(|host| (host.name.clone(), host)));
+        }
+        for (name, text) in self.store.under("life/") {
+            // Only hosts of this balancer's own list may be used, and none that this list has leaving.
+            match (hosts.get_mut(name), text) {
+                (Some(host), "draining") => host.lifecycle = Lifecycle::Draining,
+                (Some(_), "gone") => drop(hosts.remove(name)),
+                _ => {}
+            }
+        }
+        let listed = pool.table.follow(hosts.into_values(), &pool.setup.zones);
+        self.tell(now, pool_id, Event::List(&listed));
+        let over = self.pools[pool_id].setup.drain_over;
         let leaving: Vec<_> = self.at.range((pool_id, ServerId(0))..=(pool_id, ServerId(u32::MAX))).collect();
         let table = &self.pools[pool_id].table;
         let held = leaving.into_iter().filter(|((_, host), _)| table.ready(*host).is_none());
         let held: Vec<(ServerId, AuthId)> =
             held.flat_map(|((_, host), auths)| auths.iter().map(|&auth| (*host, auth))).collect();
+        let mut draining: BTreeMap<ServerId, Vec<AuthId>> = BTreeMap::new();
         for (host, id) in held {
             let gone = self.pools[pool_id].table.any(host).is_none();
             let Some(auth) = self.auths.get(&id) else { continue };
@@ -492,9 +590,65 @@
                     self.leg_failed(now, id, Outcome::NotSent);
                 }
                 (Phase::Standing, _) if gone => self.move_away(now, id, Outcome::Reset),
+                (Phase::Standing, _) if over > 0 && auth.move_at.is_none() => {
+                    draining.entry(host).or_default().push(id)
+                }
                 _ => {}
             }
         }
+        for standing in draining.into_values() {
+            self.move_over(now, &standing, 0, over);
+        }
+    }
+
+    // ---- Store ----
+
+    fn gossip(&mut self, now: Time, from: SocketAddr, gossip: Gossip) {
+        match gossip {
+            Gossip::Digest { wanted, buckets } => {
+                let sent = self.store.repair(&buckets);
+                if wanted && (!sent.is_empty() || buckets != self.store.digest()) {
+                    let digest = Gossip::Digest { wanted: false, buckets: self.store.digest() };
+                    self.effects.push(Effect::Tell((from, digest)));
+                }
+                self.effects.extend(sent.into_iter().map(|gossip| Effect::Tell((from, gossip))));
+            }
+            Gossip::Entry { key, entry } => {
+                if let Some(entry) = self.store.hear(&key, entry) {
+                    self.stored(now, key, entry);
+                }
+            }
+            // Danger: an operator's word is taken from this machine only.
+            Gossip::Write { key, value } if from.ip().is_loopback() => {
+                let Some(entry) = self.store.write(&key, value.as_deref()) else { return };
+                let told = Gossip::Entry { key: key.clone(), entry: entry.clone() };
+                self.stored(now, key, entry);
+                self.effects.push(Effect::Tell((from, told.clone())));
+                // Others hear of it at once; where that is lost, digests find it out.
+                self.effects.extend(self.peers.iter().map(|&peer| Effect::Tell((peer, told.clone()))));
+            }
+            Gossip::Write { .. } => self.effects.push(Effect::Log(format!("write from {from} not taken"))),
+        }
+    }
+
+    /// The store has news: they are kept, and take effect.
+    fn stored(&mut self, now: Time, key: String, entry: Entry) {
+        let value = entry.value.as_deref().unwrap_or("nothing");
+        self.effects.push(Effect::Log(format!("store: {key} is {value}, says {}", entry.node)));
+        let host = key.starts_with("life/") || key.starts_with("host/");
+        self.effects.push(Effect::Keep { key, entry });
+        for pool in (0..self.pools.len()).filter(|_| host) {
+            self.refresh(now, pool);
+        }
+    }
+
+    /// One of the others is sent a digest each time.
+    fn keep_gossiping(&mut self, now: Time) {
+        let Some(&peer) = self.peers.get(self.next_peer % self.peers.len().max(1)) else { return };
+        self.next_peer += 1;
+        self.gossip_at = Some(now.plus(GOSSIP_GAP));
+        let digest = Gossip::Digest { wanted: true, buckets: self.store.digest() };
+        self.effects.push(Effect::Tell((peer, digest)));
     }
 
     // ---- Time ----
@@ -518,6 +672,9 @@
                 (Phase::Standing, _) => self.overdue(now, id),
             }
         }
+        if self.gossip_at.is_some_and(|at| at <= now) {
+            self.keep_gossiping(now);
+        }
         for pool in 0..self.pools.len() {
             if self.pools[pool].wake.is_some_and(|at| at <= now) {
                 self.pools[pool].wake = None;
@@ -541,17 +698,36 @@
         }
     }
 
-    /// A standing connection's timer: its host has been silent too long, or this balancer leaves.
+    /// Sets a standing connection's timer: for its move, or for the silence of its host.
+    fn watch_over(&mut self, now: Time, id: AuthId) {
+        let Some(auth) = self.auths.get(&id) else { return };
+        let silence = self.pools[auth.pool].setup.silence;
+        let silent = (silence > 0).then(|| auth.asked.unwrap_or(now).plus(silence));
+        self.set_due(id, auth.move_at.into_iter().chain(silent).min());
+    }
+
+    /// A standing connection's timer is due.
     fn overdue(&mut self, now: Time, id: AuthId) {
         let Some(auth) = self.auths.get(&id) else { return };
-        let (silence, asked) = (self.pools[auth.pool].setup.silence, auth.asked);
-        if self.leaving.is_some() {
-            return self.move_away(now, id, Outcome::Cancelled);
-        }
+        let silence = self.pools[auth.pool].setup.silence;
         // Danger: a host that vanished says nothing; its clients would wait for ever.
-        match asked.map(|at| at.plus(silence)) {
-            Some(at) if at <= now => self.move_away(now, id, Outcome::Reset),
-            at => self.set_due(id, Some(at.unwrap_or(now.plus(silence)))),
+        if silence > 0 && auth.asked.is_some_and(|at| at.plus(silence) <= now) {
+            self.move_away(now, id, Outcome::Reset);
+        } else if auth.move_at.is_some_and(|at| at <= now) {
+            self.move_away(now, id, Outcome::Cancelled);
+        } else {
+            self.watch_over(now, id);
+        }
+    }
+
+    /// Has standing connections moved one by one: all in one wave would hit the others at once.
+    fn move_over(&mut self, now: Time, standing: &[AuthId], from: Micros, over: Micros) {
+        let gap = over / standing.len().max(1) as u64;
+        for (n, &id) in standing.iter().enumerate() {
+            let at = now.plus(from + gap * n as u64 + gap / 2);
+            let Some(auth) = self.auths.get_mut(&id) else { continue };
+            auth.move_at = Some(auth.move_at.map_or(at, |old| old.min(at)));
+            self.watch_over(now, id);
         }
     }
 
@@ -563,10 +739,7 @@
         self.leaving = Some(now.plus(longest.max(3_000_000) + 200_000));
         let standing: Vec<AuthId> =
             self.auths.iter().filter(|(_, a)| a.phase == Phase::Standing).map(|(&id, _)| id).collect();
-        let gap = LEAVING_OVER / standing.len().max(1) as u64;
-        for (n, id) in standing.into_iter().enumerate() {
-            self.set_due(id, Some(now.plus(LEAVING_FROM + gap * n as u64)));
-        }
+        self.move_over(now, &standing, LEAVING_FROM, LEAVING_OVER);
         self.effects.push(Effect::Log(format!("leaving: {} connections to move", self.auths.len())));
     }
 
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -51,36 +51,35 @@
         self.hosts.get(&host)
     }
 
-    /// Takes in news, and returns them in the module's terms.
-    pub fn follow(&mut self, whole: bool, hosts: Vec<IssuerHost>, zones: &[String]) -> Vec<Listed> {
-        if whole {
-            self.hosts.clear();
-        }
-        let mut listed = Vec::with_capacity(hosts.len());
-        for host in hosts {
-            let server = host_number(&host.name);
-            let zone = zones.iter().position(|zone| *zone == host.zone).unwrap_or(usize::MAX);
-            listed.push(Listed {
-                server,
-                zone: ZoneId(zone as u16),
-                cell: CellId(host.cell),
-                standing: match host.lifecycle {
-                    Lifecycle::Ready => Standing::Serving,
-                    Lifecycle::Draining => Standing::Draining,
-                    Lifecycle::Gone => Standing::Gone,
-                },
-                started: host.started,
-                weight: host.weight,
-            });
-            match host.lifecycle {
-                Lifecycle::Gone => drop(self.hosts.remove(&server)),
-                _ => drop(self.hosts.insert(server, host)),
-            }
-        }
-        listed
+    /// Takes in all hosts, and returns them in the module's terms.
+    pub fn follow(&mut self, hosts: impl Iterator<Item = IssuerHost>, zones: &[String]) -> Vec<Listed> {
+        self.hosts = hosts.map(|host| (host_number(&host.name), host)).collect();
+        let listed = |(&server, host): (&ServerId, &IssuerHost)| Listed {
+            server,
+            zone: ZoneId(zones.iter().position(|z| *z == host.zone).unwrap_or(usize::MAX) as u16),
+            cell: CellId(host.cell),
+            standing: match host.lifecycle {
+                Lifecycle::Ready => Standing::Serving,
+                Lifecycle::Draining => Standing::Draining,
+                Lifecycle::Gone => Standing::Gone,
+            },
+            started: host.started,
+            weight: host.weight,
+        };
+        self.hosts.iter().map(listed).collect()
     }
 }
 
+/// A host as the store holds it: its address, and then its zone and weight where they are told.
+pub fn stored_host(name: &str, text: &str) -> Option<IssuerHost> {
+    let mut words = text.split_ascii_whitespace();
+    let address = words.next()?.parse::<std::net::SocketAddr>().ok()?.to_string();
+    let (zone, weight) = (words.next().unwrap_or("").to_owned(), words.next().unwrap_or("1"));
+    let weight = weight.parse().ok()?;
+    let (name, lifecycle) = (name.to_owned(), Lifecycle::Ready);
+    Some(IssuerHost { name, address, zone, cell: 0, lifecycle, weight, started: None })
+}
+
 /// A host's number: the one in its name (`s-5be2a07c`), or a hash of a name that holds none. The same at
 /// every balancer, which the module needs to place groups alike.
 pub fn host_number(name: &str) -> ServerId {
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -6,9 +6,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, Notify};
 
+use super::files::Files;
 use super::watch;
+use crate::protocol::gossip;
+use crate::routing::store::Gossip;
 use crate::routing::{reduce, Answer, AuthId, Effect, Input, State};
 use crate::{Micros, Time};
 
@@ -31,6 +35,8 @@
     /// Danger: a bounded channel could be full when an order comes; the reducer gives each connection at
     /// most two orders a leg and one answer, so these stay short by themselves.
     connections: RefCell<HashMap<AuthId, mpsc::UnboundedSender<Order>>>,
+    datagrams: RefCell<Option<Rc<UdpSocket>>>,
+    files: RefCell<Option<Files>>,
     watches: RefCell<HashMap<usize, mpsc::Sender<()>>>,
     next: Cell<u64>,
     exit: mpsc::UnboundedSender<()>,
@@ -47,6 +53,8 @@
             state: RefCell::new(state(Time(origin.0))),
             origin,
             connections: RefCell::default(),
+            datagrams: RefCell::default(),
+            files: RefCell::default(),
             watches: RefCell::default(),
             next: Cell::new(0),
             exit,
@@ -81,6 +89,12 @@
                         let _ = watch.try_send(());
                     }
                 }
+                Effect::Tell((to, gossip)) => self.tell(to, &gossip),
+                Effect::Keep { key, entry } => {
+                    if let Some(files) = self.files.borrow_mut().as_mut() {
+                        files.keep(&key, &entry);
+                    }
+                }
                 Effect::Log(text) => crate::log!(info, "{text}"),
                 Effect::Exit => drop(self.exit.send(())),
             }
@@ -90,6 +104,38 @@
         }
     }
 
+    /// Datagrams may be lost on the way, so they may be lost here.
+    fn tell(&self, to: SocketAddr, gossip: &Gossip) {
+        if let (Some(socket), Some(bytes)) = (self.datagrams.borrow().as_ref(), gossip::write(gossip)) {
+            let _ = socket.try_send_to(&bytes, to);
+        }
+    }
+
+    /// Hears other nodes' stores from now on.
+    pub fn hear(self: &Rc<Self>, socket: UdpSocket) {
+        let socket = Rc::new(socket);
+        *self.datagrams.borrow_mut() = Some(socket.clone());
+        let hub = self.clone();
+        tokio::task::spawn_local(async move {
+            let mut bytes = [0; gossip::LONGEST + 1];
+            loop {
+                match socket.recv_from(&mut bytes).await {
+                    Ok((n, from)) => match gossip::read(&bytes[..n]) {
+                        Some(gossip) => hub.feed(Input::Gossip { from, gossip }),
+                        None => crate::log!(warn, "a datagram from {from} is none of the store's"),
+                    },
+                    // Where a peer is down, its machine says so on the next call: nothing to do about it.
+                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                }
+            }
+        });
+    }
+
+    /// Keeps the store's entries in these files from now on.
+    pub fn keep_in(&self, files: Files) {
+        *self.files.borrow_mut() = Some(files);
+    }
+
     fn order(&self, auth: AuthId, order: Order) {
         if let Some(connection) = self.connections.borrow().get(&auth) {
             // One that has just ended needs no orders.
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -14,7 +14,7 @@
 }
 
 pub fn ask() -> Authorisation {
-    Authorisation { class: "chat".to_owned(), wait: WAIT, ..Authorisation::default() }
+    Authorisation { class: "chat".to_owned(), wait: Some(WAIT), ..Authorisation::default() }
 }
 
 pub fn setup() -> PoolSetup {
@@ -32,6 +32,9 @@
         },
         seed: 7,
         greeting: 10_000_000,
+        from_store: false,
+        most_held: usize::MAX,
+        drain_over: 0,
         silence: 5_000_000,
         tells_delay: true,
         longest_wait: WAIT,
@@ -41,7 +44,7 @@
 impl Desk {
     pub fn new() -> Desk {
         let now = Time(1_000_000_000);
-        let mut desk = Desk { state: State::new(vec![setup()], now), now, next: 0 };
+        let mut desk = Desk { state: State::new(vec![setup()], StoreSetup::default(), now), now, next: 0 };
         let hosts = (0..HOSTS.len()).map(|host| desk.host(host, Lifecycle::Ready)).collect();
         desk.put(Input::Table { pool: 0, whole: true, hosts });
         desk
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -4,7 +4,6 @@
 
 use desk::{ask, Desk, HOSTS};
 use sagemount::routing::*;
-use sagemount::*;
 
 /// Seen on the bench: hosts tell a message's time by the same word as a load. Taken for a load it made the
 /// slowest host look empty (a calm day kept 0.68 of the simulator's result, 0.99 since).
--- /dev/null
+++ b/tests/standins/mod.rs
@@ -0,0 +1,279 @@
+//! Stand-ins on loopback: an IRC server, an IRC client, and the daemon between them.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Long enough for a busy machine; nothing here waits it out unless it fails.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// How a stand-in IRC server takes a registration.
+#[derive(Clone)]
+pub enum Manner {
+    /// `PING` first, and the welcome only after the right `PONG`.
+    Welcome,
+    /// This line, and the end.
+    Says(&'static str),
+    /// The end, without a word.
+    HangsUp,
+    /// Nothing at all.
+    Silent,
+}
+
+/// A stand-in for an issuer host that speaks IRC (RFC 2812): it keeps every line that it is sent.
+pub struct Server {
+    pub address: SocketAddr,
+    pub lines: Arc<Mutex<Vec<String>>>,
+    pub streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    pub fn start(manner: Manner) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (lines, streams) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
+        let server = Server { address, lines: lines.clone(), streams: streams.clone() };
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (manner, lines) = (manner.clone(), lines.clone());
+                streams.lock().unwrap().push(stream.try_clone().expect("a clone"));
+                std::thread::spawn(move || {
+                    let end = stream.try_clone().expect("a clone");
+                    Server::serve(stream, manner, &lines);
+                    let _ = end.shutdown(Shutdown::Both);
+                });
+            }
+        });
+        server
+    }
+
+    fn serve(mut stream: TcpStream, manner: Manner, lines: &Mutex<Vec<String>>) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        let (mut line, mut nick, mut welcome) = (String::new(), String::new(), false);
+        while reader.read_line(&mut line).is_ok_and(|n| n > 0) {
+            let text = line.trim_end().to_owned();
+            line.clear();
+            lines.lock().unwrap().push(text.clone());
+            let mut say = |text: &str| drop(stream.write_all(format!("{text}\r\n").as_bytes()));
+            match text.split_once(' ').unwrap_or((&text, "")) {
+                ("NICK", name) => nick = name.to_owned(),
+                ("USER", _) => match &manner {
+                    Manner::Welcome => {
+                        say(":irc.test NOTICE * :*** Looking up your hostname");
+                        say("PING :cookie-17");
+                    }
+                    Manner::Says(line) => {
+                        say(line);
+                        return;
+                    }
+                    Manner::HangsUp => return,
+                    Manner::Silent => {}
+                },
+                ("PONG", ":cookie-17") if !welcome => {
+                    welcome = true;
+                    say(&format!(":irc.test 001 {nick} :Welcome"));
+                }
+                ("PRIVMSG", rest) => say(&format!(":{nick}!u@h PRIVMSG {rest}")),
+                ("QUIT", _) => {
+                    say("ERROR :Closing Link: bye");
+                    return;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn has(&self, line: &str) -> bool {
+        self.lines.lock().unwrap().iter().any(|l| l == line)
+    }
+
+    pub fn count(&self) -> usize {
+        self.lines.lock().unwrap().len()
+    }
+
+    /// Says a line to everyone who is connected.
+    pub fn say(&self, line: &str) {
+        for stream in self.streams.lock().unwrap().iter_mut() {
+            let _ = stream.write_all(format!("{line}\r\n").as_bytes());
+        }
+    }
+
+    /// Ends all that is connected.
+    pub fn end(&self) {
+        for stream in self.streams.lock().unwrap().iter() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let since = Instant::now();
+    while !holds() {
+        assert!(since.elapsed() < LONG, "never: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The daemon, ended with the test.
+pub struct Daemon {
+    child: Child,
+    log: Receiver<String>,
+    pub irc: String,
+    pub platform: String,
+    pub store: String,
+    folder: PathBuf,
+}
+
+impl Daemon {
+    /// Starts it with the texts of an operator's file and, if given, of a platform configuration.
+    pub fn start(irc: &str, platform: Option<&str>) -> Daemon {
+        static COUNT: Mutex<u32> = Mutex::new(0);
+        let count = {
+            let mut count = COUNT.lock().unwrap();
+            *count += 1;
+            *count
+        };
+        let folder = std::env::temp_dir().join(format!("sagemount-e2e-{}-{count}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        std::fs::write(folder.join("irc.json"), irc).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sagemount"));
+        command.arg("serve").arg("--irc").arg(folder.join("irc.json")).env_remove("NODE_CONFIG");
+        if let Some(platform) = platform {
+            std::fs::write(folder.join("config.json"), platform).expect("written");
+            command.arg("--config").arg(folder.join("config.json"));
+        }
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("starts");
+        let reader = BufReader::new(child.stderr.take().expect("a log"));
+        let (sender, log) = channel();
+        std::thread::spawn(move || reader.lines().map_while(Result::ok).for_each(|l| drop(sender.send(l))));
+        let mut daemon =
+            Daemon { child, log, irc: String::new(), platform: String::new(), store: String::new(), folder };
+        while daemon.irc.is_empty() {
+            let line = daemon.log_line("");
+            let word = |mark: &str| {
+                let (_, rest) = line.split_once(mark)?;
+                rest.split(' ').next().map(str::to_owned)
+            };
+            if let Some(at) = word("hears stores on ") {
+                daemon.store = at;
+            } else if let Some(at) = word("listens on ") {
+                *if line.ends_with("for IRC") { &mut daemon.irc } else { &mut daemon.platform } = at;
+            }
+        }
+        daemon
+    }
+
+    /// The next log line that holds this.
+    pub fn log_line(&self, part: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).unwrap_or_else(|_| panic!("no log line with '{part}'"));
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+
+    pub fn drain(&self, host: &str) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sagemount"));
+        let output = command.args(["drain", host, "--store", &self.store]).output().expect("runs");
+        assert!(output.status.success(), "{output:?}");
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits for its exit, and whether that was in order.
+    pub fn exited(&mut self) -> bool {
+        let mut status = None;
+        until("the daemon leaves", || {
+            status = self.child.try_wait().expect("a child");
+            status.is_some()
+        });
+        status.is_some_and(|s| s.success())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A client that speaks lines.
+pub struct Client {
+    pub stream: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn connect(address: &str) -> Client {
+        let stream = TcpStream::connect(address).expect("connects");
+        stream.set_read_timeout(Some(LONG)).expect("a socket");
+        let reader = BufReader::new(stream.try_clone().expect("a clone"));
+        Client { stream, reader }
+    }
+
+    /// A client that has registered as `nick`.
+    pub fn register(address: &str, nick: &str) -> Client {
+        let mut client = Client::connect(address);
+        client.say(&format!("NICK {nick}\r\nUSER u 0 * :A tool"));
+        client
+    }
+
+    pub fn say(&mut self, line: &str) {
+        self.stream.write_all(format!("{line}\r\n").as_bytes()).expect("written");
+    }
+
+    /// The next line; empty at the end.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Ok(_) => line.trim_end().to_owned(),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => String::new(),
+            Err(e) => panic!("no line: {e}"),
+        }
+    }
+
+    /// The next line that holds this.
+    pub fn expect(&mut self, part: &str) -> String {
+        loop {
+            let line = self.line();
+            assert!(!line.is_empty(), "the end came before '{part}'");
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+
+    /// All that comes up to the end.
+    pub fn rest(&mut self) -> String {
+        let mut bytes = Vec::new();
+        match self.reader.read_to_end(&mut bytes) {
+            Err(e) if e.kind() != std::io::ErrorKind::ConnectionReset => panic!("no end: {e}"),
+            _ => String::from_utf8_lossy(&bytes).into_owned(),
+        }
+    }
+}
+
+/// An operator's file with these hosts.
+pub fn irc_config(hosts: &[&Server], more: &str) -> String {
+    let host = |(n, server): (usize, &&Server)| {
+        format!("{{\"name\": \"irc-{n}\", \"address\": \"{}\"}}", server.address)
+    };
+    let hosts: Vec<String> = hosts.iter().enumerate().map(host).collect();
+    format!(
+        "{{\"listen\": \"127.0.0.1:0\", \"name\": \"front.test\", \"store\": {{\"node\": \"n1\", \
+         \"listen\": \"127.0.0.1:0\"}}, \"hosts\": [{}] {more}}}",
+        hosts.join(", ")
+    )
+}
