Replay pcap captures into a front and record front traffic; stay 1 s on leaving

Found in review, each with a test: a balancer that held nothing left at the moment of SIGTERM, while the front goes on sending for 0.4 s (State::take, Effect::Exit): it now stays a second, and whoever is left at the end is answered. An acquirer side that ended its sending had its reading side cut in the same moment (acquirer_ended): it now reads on to its host's end. Entries of the store were taken from any address: from peers only now. Found by the store's model: entries sent for a digest went round in step with the digests, so that the same eight went to the same node each time (Store::repair, turn): the start is now scattered.

--- a/src/program/commands.rs
+++ b/src/program/commands.rs
@@ -20,6 +20,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Replay(Replay),
     Drain(Drain),
     Version(Version),
 }
@@ -34,6 +35,12 @@
     /// operator's file of the IRC front, such as deploy/irc.json (default: no IRC)
     #[argh(option)]
     irc: Option<PathBuf>,
+    /// record what goes over the fronts' connections to this pcap file
+    #[argh(option)]
+    record: Option<PathBuf>,
+    /// megabytes that the recording may grow to (default: 64)
+    #[argh(option, default = "64")]
+    record_mb: usize,
 }
 
 /// Read and check the configuration, and say what is wrong with it.
@@ -48,6 +55,24 @@
     irc: Option<PathBuf>,
 }
 
+/// Play the acquirer side's flows of a pcap file into a front, with loopback hosts only.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "replay")]
+struct Replay {
+    /// pcap file
+    #[argh(positional)]
+    file: PathBuf,
+    /// configuration of the platform's front, or the operator's file with --front irc
+    #[argh(option)]
+    config: PathBuf,
+    /// front that takes the flows: platform or irc (default: platform)
+    #[argh(option, default = "transport::Which::Platform")]
+    front: transport::Which,
+    /// port that the flows went to (default: the one that the front listens on)
+    #[argh(option)]
+    port: Option<u16>,
+}
+
 /// Have an issuer host drained: written at one node's store, it takes effect at all of them.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "drain")]
@@ -75,7 +100,17 @@
 
 fn carry_out(command: Command) -> Result<(), String> {
     match command {
-        Command::Serve(serve) => transport::serve(read(serve.config, serve.irc)?),
+        Command::Serve(serve) => {
+            let record = serve.record.as_deref().map(|path| (path, serve.record_mb << 20));
+            transport::serve(read(serve.config, serve.irc)?, record)
+        }
+        Command::Replay(replay) => {
+            let config = match replay.front {
+                transport::Which::Platform => config::read(Some(&replay.config), None)?,
+                transport::Which::Irc => config::read(None, Some(&replay.config))?,
+            };
+            transport::replay(&replay.file, config, replay.front, replay.port)
+        }
         Command::Check(check) => {
             let config = read(check.config, check.irc)?;
             if let Some(platform) = config.platform {
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,10 +1,12 @@
 //! Parsers and encoders, without sockets. Each front is a small state machine over bytes.
 
+pub mod flows;
 pub mod gossip;
 pub mod http;
 pub mod irc;
 pub mod json;
 pub mod lines;
+pub mod pcap;
 pub mod platform;
 
 use crate::routing::{Answer, Authorisation, LegEnd};
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -24,6 +24,8 @@
 /// From when, and over how long, a balancer that leaves moves its clients: not all in one wave.
 const LEAVING_FROM: Micros = 50_000;
 const LEAVING_OVER: Micros = 1_800_000;
+/// It stays so long even if it holds nothing: connections go on coming until the front has noticed.
+const LEAVING_STAY: Micros = 1_000_000;
 /// A connection that stood before the start is tried this long, this far apart.
 const ADOPT_FOR: Micros = 30_000_000;
 const ADOPT_GAP: Micros = 500_000;
@@ -242,8 +244,8 @@
     timers: BTreeSet<(Time, AuthId)>,
     /// Authorisations with a leg at a host.
     at: BTreeMap<(PoolId, ServerId), BTreeSet<AuthId>>,
-    /// When it goes at the latest, once it leaves.
-    leaving: Option<Time>,
+    /// From when it may go, and when it goes at the latest, once it leaves.
+    leaving: Option<(Time, Time)>,
     effects: Vec<Effect>,
     store: Store,
     peers: Vec<SocketAddr>,
@@ -293,7 +295,8 @@
     pub fn next_due(&self) -> Option<Time> {
         let wakes = self.pools.iter().filter_map(|pool| pool.wake);
         let timers = self.timers.first().map(|&(at, _)| at);
-        wakes.chain(timers).chain(self.leaving).chain(self.gossip_at).min()
+        let leaving = self.leaving.map(|(from, to)| if self.auths.is_empty() { from } else { to });
+        wakes.chain(timers).chain(leaving).chain(self.gossip_at).min()
     }
 
     /// What the store holds: for tests.
@@ -327,8 +330,18 @@
             Input::Leave => self.leave(now),
             Input::Tick => self.tick(now),
         }
-        if self.leaving.is_some_and(|at| now >= at || self.auths.is_empty()) {
+        if self.leaving.is_some_and(|(from, to)| now >= to || now >= from && self.auths.is_empty()) {
             self.leaving = None;
+            // Whoever is still here is owed a word.
+            for id in self.auths.keys().copied().collect::<Vec<_>>() {
+                let answer = match self.auths.get(&id).map(|auth| auth.phase) {
+                    Some(Phase::Standing) => Answer::Moved,
+                    Some(Phase::Greeting) => Answer::Late,
+                    _ => Answer::Failed,
+                };
+                self.effects.push(Effect::Answer { auth: id, answer });
+                self.end(now, id, Outcome::Cancelled);
+            }
             self.effects.push(Effect::Exit);
         }
     }
@@ -429,7 +442,7 @@
         let Some(auth) = self.auths.get_mut(&id).filter(|a| a.phase != Phase::Standing) else { return };
         let (pool, placed) = (auth.pool, auth.phase == Phase::Placing);
         auth.phase = Phase::Standing;
-        auth.move_at = self.leaving.map(|at| at.min(now.plus(LEAVING_FROM)));
+        auth.move_at = self.leaving.map(|(_, at)| at.min(now.plus(LEAVING_FROM)));
         self.watch_over(now, id);
         if placed {
             self.tell(now, pool, Event::Started { request: RequestId(id.0), attempt: number });
@@ -604,6 +617,10 @@
     // ---- Store ----
 
     fn gossip(&mut self, now: Time, from: SocketAddr, gossip: Gossip) {
+        // Danger: what holds for all nodes is taken from the nodes only.
+        if !matches!(gossip, Gossip::Write { .. }) && !self.peers.contains(&from) {
+            return self.effects.push(Effect::Log(format!("word from {from}, which is no peer, not taken")));
+        }
         match gossip {
             Gossip::Digest { wanted, buckets } => {
                 let sent = self.store.repair(&buckets);
@@ -736,7 +753,7 @@
             return;
         }
         let longest = self.pools.iter().map(|p| p.setup.longest_wait).max().unwrap_or(0);
-        self.leaving = Some(now.plus(longest.max(3_000_000) + 200_000));
+        self.leaving = Some((now.plus(LEAVING_STAY), now.plus(longest.max(3_000_000))));
         let standing: Vec<AuthId> =
             self.auths.iter().filter(|(_, a)| a.phase == Phase::Standing).map(|(&id, _)| id).collect();
         self.move_over(now, &standing, LEAVING_FROM, LEAVING_OVER);
--- a/src/routing/store.rs
+++ b/src/routing/store.rs
@@ -53,8 +53,9 @@
     /// Keys written here before any other node was heard: this one may have forgotten what it knew.
     unsure: BTreeSet<String>,
     heard: bool,
-    /// Where the next entries sent for a digest begin.
-    turn: usize,
+    /// Where the next entries sent for a digest begin. Danger: counted on, it could fall into step with the
+    /// others' digests, and the same entries would go to the same node each time.
+    turn: u64,
 }
 
 fn hash(parts: &[&[u8]]) -> u64 {
@@ -150,13 +151,18 @@
     pub fn repair(&mut self, theirs: &[u64; BUCKETS]) -> Vec<Gossip> {
         self.heard = true;
         let mine = self.digest();
+        if mine == *theirs {
+            // Another node holds all that is held here: what was written here stands.
+            self.unsure.clear();
+        }
         let differ = |key: &String| mine[bucket(key)] != theirs[bucket(key)];
         let all: Vec<_> = self.entries.iter().filter(|(key, _)| differ(key)).collect();
         let count = all.len().min(MOST_SENT);
-        let sent = all.iter().cycle().skip(self.turn % all.len().max(1)).take(count);
+        let skipped = (self.turn >> 33) as usize % all.len().max(1);
+        let sent = all.iter().cycle().skip(skipped).take(count);
         let sent: Vec<Gossip> =
             sent.map(|&(key, entry)| Gossip::Entry { key: key.clone(), entry: entry.clone() }).collect();
-        self.turn = self.turn.wrapping_add(count);
+        self.turn = self.turn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         sent
     }
 }
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -11,8 +11,10 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::hub::{Hub, Order};
+use crate::protocol::pcap::{Close, Tape, Way};
 use crate::protocol::{Front, Step};
 use crate::routing::{AuthId, Input, LegEnd};
+use crate::Micros;
 
 /// Bytes held for a side that does not read; more are not taken from the other.
 const HELD: usize = 16 << 10;
@@ -25,6 +27,8 @@
 struct End {
     stream: TcpStream,
     out: Vec<u8>,
+    /// For a recording: what was written to it.
+    sent: Option<Vec<u8>>,
     /// It sends nothing more.
     ended: bool,
     /// It is to be sent nothing more once `out` is written, and whether that is done.
@@ -35,14 +39,19 @@
 impl End {
     fn new(stream: TcpStream) -> End {
         let _ = stream.set_nodelay(true);
-        End { stream, out: Vec::new(), ended: false, finish: false, finished: false }
+        End { stream, out: Vec::new(), sent: None, ended: false, finish: false, finished: false }
     }
 
     /// Writes what it can at once.
     fn flush(&mut self) -> io::Result<()> {
         while !self.out.is_empty() {
             match self.stream.try_write(&self.out) {
-                Ok(n) => drop(self.out.drain(..n)),
+                Ok(n) => {
+                    let written = self.out.drain(..n);
+                    if let Some(sent) = &mut self.sent {
+                        sent.extend(written);
+                    }
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
                 Err(e) => return Err(e),
             }
@@ -115,11 +124,21 @@
     over: Option<Instant>,
     /// What the issuer host still says is for nobody.
     discard: bool,
+    /// It is recorded.
+    tape: Option<Tape>,
 }
 
 /// Takes a connection in.
-pub fn start(hub: &Rc<Hub>, pool: usize, stream: TcpStream, front: Box<dyn Front>) {
+pub fn start(hub: &Rc<Hub>, pool: usize, stream: TcpStream, front: Box<dyn Front>) -> AuthId {
     let (auth, orders) = hub.enter();
+    let ends = stream.peer_addr().ok().zip(stream.local_addr().ok());
+    let mut tape = None;
+    hub.record(|at| {
+        let Some((acquirer, front)) = ends else { return Vec::new() };
+        let (begun, records) = Tape::start(at, acquirer, front);
+        tape = Some(begun);
+        records
+    });
     let mut connection = Connection {
         hub: hub.clone(),
         auth,
@@ -132,12 +151,16 @@
         standing: false,
         over: None,
         discard: false,
+        tape,
     };
+    connection.acquirer.sent = connection.tape.is_some().then(Vec::new);
     hub.feed(Input::Met { auth, pool });
     tokio::task::spawn_local(async move {
         connection.run(orders).await;
+        connection.record(|tape, at| tape.close(at, Way::ToAcquirer, Close::InOrder));
         connection.hub.leave(auth);
     });
+    auth
 }
 
 impl Connection {
@@ -169,6 +192,12 @@
         }
     }
 
+    fn record(&mut self, records: impl FnOnce(&mut Tape, Micros) -> Vec<u8>) {
+        if let Some(tape) = &mut self.tape {
+            self.hub.record(|at| records(tape, at));
+        }
+    }
+
     fn obey(&mut self, order: Order) {
         match order {
             _ if self.over.is_some() => {}
@@ -234,7 +263,15 @@
                 self.hub.feed(Input::LegWritten { auth: self.auth, leg: self.number });
             }
         }
-        if self.acquirer.flush().is_err() {
+        let flushed = self.acquirer.flush();
+        if let Some(sent) = self.acquirer.sent.as_mut().filter(|sent| !sent.is_empty()) {
+            let sent = std::mem::take(sent);
+            self.record(|tape, at| tape.data(at, Way::ToAcquirer, &sent));
+        }
+        if self.acquirer.finished {
+            self.record(|tape, at| tape.close(at, Way::ToAcquirer, Close::InOrder));
+        }
+        if flushed.is_err() {
             self.acquirer_broke();
         }
     }
@@ -246,6 +283,7 @@
             Ok(Some(0)) => self.acquirer_ended(),
             Ok(Some(_)) if self.over.is_some() => {}
             Ok(Some(n)) => {
+                self.record(|tape, at| tape.data(at, Way::FromAcquirer, &piece[..n]));
                 let mut steps = Vec::new();
                 self.front.acquirer_sent(&piece[..n], &mut steps);
                 self.take(steps);
@@ -257,17 +295,23 @@
     /// The acquirer side sends nothing more: it has left, and the issuer host is ended in the same way.
     fn acquirer_ended(&mut self) {
         self.acquirer.ended = true;
+        self.record(|tape, at| tape.close(at, Way::FromAcquirer, Close::InOrder));
         if self.over.is_none() {
-            if !self.standing {
-                self.close_leg();
+            match self.leg.as_mut().filter(|_| self.standing) {
+                // It may still read: what its host says to the end goes to it, for a while.
+                Some(leg) => {
+                    leg.finish = true;
+                    self.over = Some(Instant::now() + LINGER);
+                }
+                None => self.finish(),
             }
-            self.finish();
             self.hub.feed(Input::Left { auth: self.auth });
         }
     }
 
     fn acquirer_broke(&mut self) {
         self.acquirer.ended = true;
+        self.record(|tape, at| tape.close(at, Way::FromAcquirer, Close::Broken));
         if let Some(leg) = self.leg.take().filter(|_| self.standing && !self.acquirer.finish) {
             leg.reset();
         }
@@ -302,6 +346,9 @@
         leg.ended = true;
         if self.over.is_some() {
             self.leg = None;
+            let rest = self.front.held_back();
+            self.acquirer.out.extend_from_slice(if self.discard { &[] } else { &rest });
+            self.acquirer.finish = true;
             return;
         }
         if !self.standing {
@@ -316,6 +363,7 @@
             let _ = self.acquirer.flush();
             self.acquirer.reset();
             self.acquirer.ended = true;
+            self.record(|tape, at| tape.close(at, Way::ToAcquirer, Close::Broken));
         }
         self.leg = None;
         self.finish();
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -10,10 +10,11 @@
 use tokio::sync::{mpsc, Notify};
 
 use super::files::Files;
+use super::record::Recorder;
 use super::watch;
 use crate::protocol::gossip;
 use crate::routing::store::Gossip;
-use crate::routing::{reduce, Answer, AuthId, Effect, Input, State};
+use crate::routing::{reduce, Answer, AuthId, Effect, Input, LegEnd, State};
 use crate::{Micros, Time};
 
 /// What a connection's task is to do.
@@ -27,6 +28,41 @@
     Answer(Answer),
 }
 
+/// What was seen of an authorisation, for replays.
+#[derive(Clone, Debug)]
+pub enum Seen {
+    /// It came to stand, so long after it was met, on this leg.
+    Served(Micros, u32),
+    /// A host's verdict was passed on.
+    Verdict,
+    /// It had this answer, so long after it was met.
+    Answered(Micros, Answer),
+    /// The acquirer side left.
+    Left,
+    /// Its host ended it.
+    Ended,
+}
+
+impl std::fmt::Display for Seen {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let ms = |time: &Micros| *time as f64 / 1000.0;
+        match self {
+            Seen::Served(after, leg) => write!(f, "served after {:.1} ms on leg {}", ms(after), leg + 1),
+            Seen::Verdict => write!(f, "turned away by its host's own verdict"),
+            Seen::Answered(after, Answer::Refused(wait)) => {
+                write!(f, "refused after {:.1} ms, to come again in {:.0} ms", ms(after), ms(wait))
+            }
+            Seen::Answered(after, Answer::Failed) => write!(f, "failed after {:.1} ms", ms(after)),
+            Seen::Answered(_, Answer::Late) => write!(f, "too late to ask"),
+            Seen::Answered(_, Answer::Moved) => write!(f, "moved"),
+            Seen::Left => write!(f, "left"),
+            Seen::Ended => write!(f, "ended by its host"),
+        }
+    }
+}
+
+type Observed = HashMap<AuthId, Vec<Seen>>;
+
 /// The reducer's state and those who carry out its effects.
 pub struct Hub {
     state: RefCell<State>,
@@ -37,6 +73,10 @@
     connections: RefCell<HashMap<AuthId, mpsc::UnboundedSender<Order>>>,
     datagrams: RefCell<Option<Rc<UdpSocket>>>,
     files: RefCell<Option<Files>>,
+    /// For replays: what is seen, and when each authorisation was met.
+    pub(super) observed: RefCell<Option<Observed>>,
+    met: RefCell<HashMap<AuthId, Time>>,
+    pub(super) recorder: RefCell<Option<Recorder>>,
     watches: RefCell<HashMap<usize, mpsc::Sender<()>>>,
     next: Cell<u64>,
     exit: mpsc::UnboundedSender<()>,
@@ -55,6 +95,9 @@
             connections: RefCell::default(),
             datagrams: RefCell::default(),
             files: RefCell::default(),
+            observed: RefCell::default(),
+            met: RefCell::default(),
+            recorder: RefCell::default(),
             watches: RefCell::default(),
             next: Cell::new(0),
             exit,
@@ -70,6 +113,7 @@
 
     /// Hands an input to the reducer and sends its effects on their way.
     pub fn feed(self: &Rc<Self>, input: Input) {
+        self.notice_input(&input);
         let (effects, changed) = {
             let mut state = self.state.borrow_mut();
             let before = state.next_due();
@@ -77,6 +121,9 @@
             (effects, state.next_due() != before)
         };
         for effect in effects {
+            if let Effect::Answer { auth, answer } = &effect {
+                self.notice(*auth, |after| Seen::Answered(after, *answer));
+            }
             match effect {
                 Effect::OpenLeg { auth, leg, address, wait } => {
                     self.order(auth, Order::OpenLeg { leg, address, wait })
@@ -104,6 +151,40 @@
         }
     }
 
+    /// Keeps what is seen of each authorisation from now on.
+    pub fn observe(&self) {
+        *self.observed.borrow_mut() = Some(Observed::new());
+    }
+
+    fn notice_input(&self, input: &Input) {
+        match *input {
+            Input::Met { auth, .. } if self.observed.borrow().is_some() => {
+                self.met.borrow_mut().insert(auth, self.now());
+            }
+            Input::LegUp { auth, leg } => self.notice(auth, |after| Seen::Served(after, leg)),
+            Input::LegEnded { auth, end: LegEnd::Verdict, .. } => self.notice(auth, |_| Seen::Verdict),
+            Input::LegEnded { auth, end: LegEnd::Served | LegEnd::SentAway, .. } => {
+                self.notice(auth, |_| Seen::Ended)
+            }
+            Input::Left { auth } => self.notice(auth, |_| Seen::Left),
+            _ => {}
+        }
+    }
+
+    fn notice(&self, auth: AuthId, seen: impl FnOnce(Micros) -> Seen) {
+        if let Some(observed) = self.observed.borrow_mut().as_mut() {
+            let met = self.met.borrow().get(&auth).copied().unwrap_or_default();
+            observed.entry(auth).or_default().push(seen(self.now().since(met)));
+        }
+    }
+
+    /// Adds to the recording, if there is one.
+    pub fn record(&self, records: impl FnOnce(Micros) -> Vec<u8>) {
+        if let Some(recorder) = self.recorder.borrow_mut().as_mut() {
+            recorder.write(&records(self.now().0));
+        }
+    }
+
     /// Datagrams may be lost on the way, so they may be lost here.
     fn tell(&self, to: SocketAddr, gossip: &Gossip) {
         if let (Some(socket), Some(bytes)) = (self.datagrams.borrow().as_ref(), gossip::write(gossip)) {
@@ -169,6 +250,8 @@
     /// Watches a routing table whenever the reducer asks for it.
     pub fn watch(self: &Rc<Self>, pool: usize, discovery: SocketAddr, generation: u64) {
         let (sender, wanted) = mpsc::channel(1);
+        // The reducer asked for it with the first list, before there was anyone to ask.
+        let _ = sender.try_send(());
         self.watches.borrow_mut().insert(pool, sender);
         tokio::task::spawn_local(watch::follow(self.clone(), pool, discovery, generation, wanted));
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -87,6 +87,17 @@
     assert_eq!(effects.last(), Some(&Effect::Exit));
 }
 
+/// Danger: the front goes on sending for 0.4 s; what comes then must still find somebody.
+#[test]
+fn a_balancer_that_holds_nothing_still_stays_a_while_when_it_leaves() {
+    let mut desk = Desk::new();
+    assert!(!desk.put(Input::Leave).contains(&Effect::Exit));
+    desk.pass(400_000);
+    assert!(!desk.put(Input::Tick).contains(&Effect::Exit));
+    desk.pass(600_000);
+    assert_eq!(desk.put(Input::Tick).last(), Some(&Effect::Exit));
+}
+
 /// A connection that stood before the start is tried again while its host does not take it.
 #[test]
 fn a_standing_connection_is_tried_again_at_its_own_host() {
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -133,6 +133,11 @@
 impl Daemon {
     /// Starts it with the texts of an operator's file and, if given, of a platform configuration.
     pub fn start(irc: &str, platform: Option<&str>) -> Daemon {
+        Daemon::start_with(irc, platform, &[])
+    }
+
+    /// The same with more arguments.
+    pub fn start_with(irc: &str, platform: Option<&str>, more: &[&str]) -> Daemon {
         static COUNT: Mutex<u32> = Mutex::new(0);
         let count = {
             let mut count = COUNT.lock().unwrap();
@@ -143,7 +148,7 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         std::fs::write(folder.join("irc.json"), irc).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sagemount"));
-        command.arg("serve").arg("--irc").arg(folder.join("irc.json")).env_remove("NODE_CONFIG");
+        command.arg("serve").arg("--irc").arg(folder.join("irc.json")).args(more).env_remove("NODE_CONFIG");
         if let Some(platform) = platform {
             std::fs::write(folder.join("config.json"), platform).expect("written");
             command.arg("--config").arg(folder.join("config.json"));
--- /dev/null
+++ b/tests/store.rs
@@ -0,0 +1,155 @@
+//! The replicated store: a model under loss, reordering and restarts, and two daemons that share one.
+
+mod standins;
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use sagemount::protocol::gossip;
+use sagemount::routing::store::{Entry, Gossip, Store};
+use standins::{until, Client, Daemon, Manner, Server};
+
+fn map(store: &Store) -> BTreeMap<String, Entry> {
+    store.entries().map(|(key, entry)| (key.clone(), entry.clone())).collect()
+}
+
+/// What goes over the wire: written, read back, and never too long.
+fn wire(gossip: &Gossip) -> Gossip {
+    let bytes = gossip::write(gossip).expect("fits a datagram");
+    assert!(bytes.len() <= gossip::LONGEST);
+    gossip::read(&bytes).expect("reads back")
+}
+
+/// A node sends its digest to another, and both repair.
+fn exchange(stores: &mut [Store], a: usize, b: usize, lost: impl Fn(usize) -> bool) {
+    let digest = |store: &Store| match wire(&Gossip::Digest { wanted: true, buckets: store.digest() }) {
+        Gossip::Digest { buckets, .. } => buckets,
+        other => panic!("{other:?}"),
+    };
+    for (from, to) in [(a, b), (b, a)] {
+        let theirs = digest(&stores[from]);
+        let mut sent = stores[to].repair(&theirs);
+        sent.reverse();
+        for (n, gossip) in sent.iter().enumerate().filter(|(n, _)| !lost(*n)) {
+            let Gossip::Entry { key, entry } = wire(gossip) else { panic!("{n}: {gossip:?}") };
+            stores[from].hear(&key, entry);
+        }
+    }
+}
+
+proptest! {
+    /// Whatever is written, lost, reordered and forgotten: nodes that go on talking come to the same map.
+    #[test]
+    fn nodes_converge(steps in prop::collection::vec((0u8..6, 0usize..3, 0usize..3, 0usize..40, any::<u8>()), 1..120)) {
+        let name = |n: usize| format!("node-{n}");
+        let mut stores: Vec<Store> = (0..3).map(|n| Store::new(&name(n))).collect();
+        for (what, a, b, key, bits) in steps {
+            let key = format!("life/host-{key}");
+            match what {
+                0..=1 => drop(stores[a].write(&key, Some(&"v".repeat(usize::from(bits) % 97)))),
+                2 => drop(stores[a].write(&key, None)),
+                3 if bits < 40 => stores[a] = Store::new(&name(a)),
+                _ if a != b => exchange(&mut stores, a, b, |n| bits >> (n % 8) & 1 == 1),
+                _ => {}
+            }
+        }
+        let mut rounds = 0;
+        while !stores.windows(2).all(|pair| map(&pair[0]) == map(&pair[1])) {
+            for (a, b) in [(0, 1), (1, 2), (2, 0)] {
+                exchange(&mut stores, a, b, |_| false);
+            }
+            rounds += 1;
+            prop_assert!(rounds < 60, "does not converge");
+        }
+        prop_assert_eq!(stores[0].digest(), stores[2].digest());
+    }
+
+    /// Of two entries the later wins, in whichever order they come.
+    #[test]
+    fn the_last_writer_wins(a in (1u64..4, 0usize..3, any::<bool>()), b in (1u64..4, 0usize..3, any::<bool>())) {
+        let entry = |(counter, node, value): (u64, usize, bool)| Entry {
+            counter, node: format!("n{node}"), value: value.then(|| "draining".to_owned()),
+        };
+        let mut stores = [Store::new("x"), Store::new("y")];
+        for (store, order) in stores.iter_mut().zip([[a, b], [b, a]]) {
+            for one in order {
+                store.hear("life/h", entry(one));
+            }
+        }
+        prop_assert_eq!(map(&stores[0]), map(&stores[1]));
+        prop_assert_eq!(&map(&stores[0])["life/h"], &entry(a).max(entry(b)));
+    }
+
+    /// Whatever comes as a datagram, it is read or left, and the store stays sound.
+    #[test]
+    fn no_datagram_breaks_the_reader(bytes in prop::collection::vec(any::<u8>(), 0..256), kind in prop::sample::select(b"DEW".to_vec())) {
+        let bytes = [b"SGM1", &[kind][..], &bytes].concat();
+        if let Some(Gossip::Entry { key, entry }) = gossip::read(&bytes) {
+            let mut store = Store::new("n");
+            store.hear(&key, entry);
+            prop_assert!(store.write("life/h", None).is_some(), "writing has to go on");
+        }
+    }
+}
+
+/// Danger: a node that restarted from nothing counts from the start; what an operator writes there must not
+/// lose to what was written before.
+#[test]
+fn a_write_after_a_restart_from_nothing_stands() {
+    let mut stores = [Store::new("a"), Store::new("b"), Store::new("c")];
+    for _ in 0..9 {
+        stores[1].write("life/h", None);
+    }
+    (0..2).for_each(|_| exchange(&mut stores, 1, 2, |_| false));
+    stores[0].write("life/h", Some("draining"));
+    for _ in 0..3 {
+        exchange(&mut stores, 0, 1, |_| false);
+    }
+    assert_eq!([stores[0].get("life/h"), stores[1].get("life/h")], [Some("draining"); 2]);
+}
+
+#[test]
+fn what_does_not_fit_a_datagram_is_not_written() {
+    let mut store = Store::new("n");
+    assert!(store.write(&"k".repeat(73), None).is_none());
+    assert!(store.write("k", Some(&"v".repeat(97))).is_none());
+    let longest = store.write(&"k".repeat(72), Some(&"v".repeat(96))).expect("fits");
+    let entry = Entry { node: "n".repeat(32), ..longest };
+    wire(&Gossip::Entry { key: "k".repeat(72), entry });
+}
+
+#[test]
+fn a_drain_at_one_daemon_takes_effect_at_the_other_and_outlives_it() {
+    let server = Server::start(Manner::Welcome);
+    // Loopback addresses of this process's own: daemons have to know each other's beforehand.
+    let id = std::process::id();
+    let store = |n: u32| format!("127.{}.{}.{n}:7946", 1 + id / 256 % 250, id % 256);
+    let data = std::env::temp_dir().join(format!("sagemount-store-{id}"));
+    let config = |n: u32, peer: u32, more: &str| {
+        format!(
+            r#"{{"listen": "127.0.0.1:0", "name": "front{n}.test", "drain_over_ms": 200,
+                "hosts": [{{"name": "irc-0", "address": "{}"}}],
+                "store": {{"node": "n{n}", "listen": "{}", "peers": ["{}"] {more}}}}}"#,
+            server.address,
+            store(n),
+            store(peer)
+        )
+    };
+    let kept = config(1, 2, &format!(", \"data\": \"{}\"", data.display()));
+    let first = Daemon::start(&kept, None);
+    let second = Daemon::start(&config(2, 1, ""), None);
+    let mut client = Client::register(&second.irc, "rosa");
+    client.expect("001 rosa");
+    first.drain("irc-0");
+    client.expect(" 010 rosa ");
+    Client::register(&first.irc, "rosa").expect(" 263 rosa ");
+    // The one with a data folder knows it again; the other learns it from there.
+    drop(first);
+    drop(second);
+    let second = Daemon::start(&config(2, 1, ""), None);
+    let _first = Daemon::start(&kept, None);
+    second.log_line("store: life/irc-0 is draining");
+    Client::register(&second.irc, "rosa").expect(" 263 rosa ");
+    until("the folder is there", || data.join("store.journal").exists());
+    let _ = std::fs::remove_dir_all(&data);
+}
