Test the fronts by models and the platform's front from end to end

Fronts: the same is made of bytes in whatever pieces; no bytes break them. Platform: watch renewed within 200 ms and asked for again after a failure, pieces, over-long lines, half-close, silent host, refusal at once, backpressure.

--- /dev/null
+++ b/tests/fronts.rs
@@ -0,0 +1,196 @@
+//! The fronts without sockets: whatever pieces bytes come in, the same is made of them.
+
+use std::rc::Rc;
+
+use proptest::prelude::*;
+use sagemount::protocol::platform::{greeting, issuer_word, Greeting, Word};
+use sagemount::protocol::{http, irc, platform, Front, Step};
+use sagemount::routing::{Answer, LegEnd, Lifecycle};
+
+/// What came out for each side, and what else was said, in order.
+#[derive(Debug, Default, PartialEq)]
+struct Made {
+    to_acquirer: Vec<u8>,
+    to_issuer: Vec<u8>,
+    said: Vec<Step>,
+}
+
+impl Made {
+    fn add(&mut self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::ToAcquirer(bytes) => self.to_acquirer.extend(bytes),
+                Step::ToIssuer(bytes) => self.to_issuer.extend(bytes),
+                other => self.said.push(other),
+            }
+        }
+    }
+}
+
+/// Bytes in pieces that end at these places.
+fn pieces<'a>(bytes: &'a [u8], cuts: &[prop::sample::Index]) -> Vec<&'a [u8]> {
+    let mut ends: Vec<usize> = cuts.iter().map(|cut| cut.index(bytes.len().max(1))).collect();
+    ends.extend([0, bytes.len()]);
+    ends.sort_unstable();
+    ends.windows(2).map(|pair| &bytes[pair[0]..pair[1]]).collect()
+}
+
+fn play(mut front: impl Front, before: &[&[u8]], leg: &[&[u8]], after: &[&[u8]]) -> Made {
+    let mut made = Made::default();
+    let mut feed = |front: &mut dyn Front, pieces: &[&[u8]], issuer: bool| {
+        for piece in pieces {
+            let mut steps = Vec::new();
+            match issuer {
+                true => front.issuer_sent(piece, &mut steps),
+                false => front.acquirer_sent(piece, &mut steps),
+            }
+            made.add(steps);
+        }
+    };
+    feed(&mut front, before, false);
+    front.open_leg(250_000);
+    feed(&mut front, leg, true);
+    feed(&mut front, after, false);
+    made.to_acquirer.extend(front.held_back());
+    made.to_acquirer.extend(front.answer(Answer::Moved));
+    made
+}
+
+fn irc_front() -> irc::Connection {
+    irc::Connection::new(Rc::new(irc::Setup { name: "f".to_owned(), ..irc::Setup::default() }))
+}
+
+const OPEN: &[u8] = b"PING\r\nOPEN 9b1f 7f3a c=chat,t=acme,d=2000.5,g=5c0f6e1a2b3d4c59,h=1.5,x=\r\n";
+
+proptest! {
+    // Long lines are scanned anew for each piece, which takes its time without optimisation.
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    #[test]
+    fn the_platform_front_does_not_care_for_pieces(
+        long in 0usize..9000,
+        cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+    ) {
+        let leg = [b"UP 7\r\nLOAD 8000.5\r\n", &vec![b'x'; long][..], b"\r\nM 1\r\nBYE\r\npart"].concat();
+        let whole = play(platform::Connection::default(), &[OPEN], &[&leg], &[b"M 2\r\nhalf"]);
+        let cut = play(platform::Connection::default(), &pieces(OPEN, &cuts), &pieces(&leg, &cuts), &[b"M 2\r\nhalf"]);
+        prop_assert_eq!(&cut.to_acquirer, &[&b"PONG\r\n"[..], &leg, b"MOVE\r\n"].concat());
+        prop_assert_eq!(&cut.to_issuer, b"M 2\r\nhalf");
+        prop_assert_eq!(cut, whole);
+    }
+
+    #[test]
+    fn the_irc_front_does_not_care_for_pieces(
+        cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..12),
+        long in 0usize..20_000,
+    ) {
+        let hello = [b"CAP LS\r\nFOO\r\n", &vec![b'x'; long][..], b"\r\nNICK a\nUSER u 0 * :r r\r\nCAP END\r\nJOIN #a\r\n"].concat();
+        let leg = [b":h NOTICE * :hi\r\nPING :1\r\n:h 001 a :w\r\n@t=1 :x PRIVMSG a :", &vec![b'y'; long][..], b"\r\nend"].concat();
+        let whole = play(irc_front(), &[&hello], &[&leg], &[b"PART #a\r\nhalf"]);
+        let cut = play(irc_front(), &pieces(&hello, &cuts), &pieces(&leg, &cuts), &[b"PART #a\r\nhalf"]);
+        prop_assert_eq!(&cut.to_issuer, b"PONG :1\r\nJOIN #a\r\nPART #a\r\n");
+        prop_assert!(cut.said.contains(&Step::Up));
+        prop_assert_eq!(cut, whole);
+    }
+
+    /// Whatever comes from either side, nothing breaks, and what waits stays bounded.
+    #[test]
+    fn no_bytes_break_a_front(
+        steps in prop::collection::vec((any::<bool>(), prop::collection::vec(
+            prop_oneof![Just(b'\n'), Just(b' '), Just(b':'), Just(0), prop::sample::select(b"PINGOPENUPCAPBYE001=,@".to_vec()), any::<u8>()], 0..300)), 0..30),
+        standing in any::<bool>(),
+    ) {
+        let fronts: [(Box<dyn Front>, &[u8], &[u8]); 2] = [
+            (Box::<platform::Connection>::default(), OPEN, b"UP 1\r\n"),
+            (Box::new(irc_front()), b"NICK a\r\nUSER u 0 * :r\r\n", b":h 001 a :w\r\n"),
+        ];
+        for (mut front, hello, up) in fronts {
+            let mut out = Vec::new();
+            if standing {
+                front.acquirer_sent(hello, &mut out);
+                front.open_leg(1);
+                front.issuer_sent(up, &mut out);
+                prop_assert!(out.contains(&Step::Up));
+            }
+            for (issuer, bytes) in &steps {
+                match issuer {
+                    true => front.issuer_sent(bytes, &mut out),
+                    false => front.acquirer_sent(bytes, &mut out),
+                }
+                prop_assert!(front.waiting() <= 9000);
+            }
+            prop_assert!(out.iter().filter(|step| matches!(step, Step::Authorise(_))).count() <= 1);
+            front.issuer_ended(true);
+        }
+    }
+
+    /// Discovery's answers come in pieces, too.
+    #[test]
+    fn an_http_answer_is_read_once_it_is_whole(cut in any::<prop::sample::Index>(), chunked in any::<bool>()) {
+        let body = br#"{"generation":41,"reset":true,"instances":[{"instanceId":"s-5be2a07c","hostPort":"10.1.0.18:8081","zone":"a","machineType":"m2","cell":3,"lifecycle":"draining","weight":1.0,"startedAtMs":1700000000123}]}"#;
+        let bytes = if chunked {
+            let (a, b) = body.split_at(60);
+            let head = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n", a.len());
+            [head.as_bytes(), a, format!("\r\n{:X};x\r\n", b.len()).as_bytes(), b, b"\r\n0\r\n\r\n"].concat()
+        } else {
+            [format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len()).as_bytes(), body].concat()
+        };
+        let part = cut.index(bytes.len());
+        prop_assert_eq!(http::answer(&bytes[..part], false).unwrap(), None);
+        let answer = http::answer(&bytes, false).unwrap().unwrap();
+        prop_assert_eq!((answer.status, answer.close, answer.taken), (200, false, bytes.len()));
+        let news = http::news_text(&answer.body).unwrap();
+        prop_assert_eq!((news.generation, news.whole, news.hosts.len()), (41, true, 1));
+        prop_assert_eq!(news.hosts[0].lifecycle, Lifecycle::Draining);
+        prop_assert_eq!(news.hosts[0].started.unwrap().0, 1_700_000_000_123_000);
+    }
+}
+
+/// Danger: anything else changed in a first line makes it one that no client sent.
+#[test]
+fn only_the_figure_of_d_changes_on_its_way() {
+    let mut front = platform::Connection::default();
+    let mut steps = Vec::new();
+    front.acquirer_sent(OPEN, &mut steps);
+    let Some(Step::Authorise(ask)) = steps.last() else { panic!("{steps:?}") };
+    assert_eq!((ask.class.as_str(), ask.tenant.as_deref()), ("chat", Some("acme")));
+    assert_eq!((ask.group, ask.wait, ask.load), (Some(0x5c0f_6e1a_2b3d_4c59), Some(2_000_500), Some(1.5)));
+    let line = front.open_leg(734_900);
+    assert_eq!(line, b"OPEN 9b1f 7f3a c=chat,t=acme,d=734,g=5c0f6e1a2b3d4c59,h=1.5,x=\r\n");
+    // Without a `d` nothing is put in.
+    let mut front = platform::Connection::default();
+    front.acquirer_sent(b"OPEN a b c=chat,at=s-00000001\r\n", &mut steps);
+    assert_eq!(front.open_leg(5), b"OPEN a b c=chat,at=s-00000001\r\n");
+}
+
+#[test]
+fn words_of_issuer_hosts_are_told_apart() {
+    let words = [
+        ("UP 7f", Word::Up),
+        ("BYE", Word::Bye),
+        ("MOVE", Word::Move),
+        ("ERR", Word::Error),
+        ("BUSY 200", Word::Busy),
+        ("LOAD 99.25", Word::Load(99.25)),
+        ("M 1 x", Word::Other),
+        ("UPPER", Word::Other),
+        ("", Word::Other),
+    ];
+    for (line, word) in words {
+        assert_eq!(issuer_word(line.as_bytes()), word, "{line}");
+    }
+    for line in ["", "OPEN", "OPEN a b", "OPEN a b c", "PINGS", "GET / HTTP/1.1"] {
+        assert_eq!(greeting(line.as_bytes()), None, "{line}");
+    }
+    assert_eq!(greeting(b"PING"), Some(Greeting::Ping));
+}
+
+#[test]
+fn first_lines_of_a_leg_decide_it() {
+    for (line, end) in
+        [("BUSY\r\n", LegEnd::TurnedAway), ("ERR\r\n", LegEnd::Error), ("SYNTAX\r\n", LegEnd::Error)]
+    {
+        let made = play(platform::Connection::default(), &[OPEN], &[line.as_bytes()], &[]);
+        assert_eq!(made.said.last(), Some(&Step::LegEnded(end)), "{line}");
+    }
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,195 @@
+//! The platform's front from end to end, with stand-ins for shop hosts and for discovery.
+
+mod standins;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use standins::{irc_config, until, Client, Daemon, LONG};
+
+type Lines = Arc<Mutex<Vec<String>>>;
+
+/// A shop host: accepts, sends lines back, and keeps what it was sent. `silent` ones go mute after `UP`.
+fn host(up: &'static str, silent: bool) -> (SocketAddr, Lines) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (address, lines) = (listener.local_addr().expect("an address"), Lines::default());
+    let kept = lines.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let kept = kept.clone();
+            std::thread::spawn(move || {
+                for line in BufReader::new(stream.try_clone().expect("a clone")).lines().map_while(Result::ok)
+                {
+                    kept.lock().unwrap().push(line.clone());
+                    let open = line.starts_with("OPEN ");
+                    let answer = if open { up } else { &line };
+                    if open || !silent {
+                        let _ = stream.write_all(format!("{answer}\r\n").as_bytes());
+                    }
+                }
+                kept.lock().unwrap().push("end".to_owned());
+            });
+        }
+    });
+    (address, lines)
+}
+
+/// Discovery: keeps when it was called with what, and answers each call by the next of these, then by none.
+fn discovery(answers: Vec<(u16, String)>) -> (SocketAddr, Arc<Mutex<Vec<(Instant, String)>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let (kept, answers) = (calls.clone(), Arc::new(Mutex::new(answers.into_iter())));
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (kept, answers) = (kept.clone(), answers.clone());
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                let mut line = String::new();
+                while reader.read_line(&mut line).is_ok_and(|n| n > 0) {
+                    if line.starts_with("GET ") {
+                        kept.lock().unwrap().push((Instant::now(), line.trim_end().to_owned()));
+                    }
+                    if line == "\r\n" {
+                        let Some((status, body)) = answers.lock().unwrap().next() else {
+                            // A watch on which nothing happens.
+                            let _ = reader.read_to_end(&mut Vec::new());
+                            return;
+                        };
+                        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+                        let _ = stream.write_all((head + &body).as_bytes());
+                    }
+                    line.clear();
+                }
+            });
+        }
+    });
+    (address, calls)
+}
+
+fn entry(name: &str, address: SocketAddr, lifecycle: &str) -> String {
+    format!(
+        r#"{{"instanceId": "{name}", "hostPort": "{address}", "zone": "a", "lifecycle": "{lifecycle}", "weight": 1.0}}"#
+    )
+}
+
+fn list(generation: u32, whole: bool, entries: &[String]) -> String {
+    format!(r#"{{"generation": {generation}, "reset": {whole}, "instances": [{}]}}"#, entries.join(","))
+}
+
+fn daemon(discovery: SocketAddr, known: &str) -> Daemon {
+    let config = format!(
+        r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "5", "known": {known},
+            "settings": {{"discovery": "on_request", "zones": ["a"],
+              "classes": [{{"name": "chat", "deadline": 3000, "repeat": "repeatable"}}],
+              "invariants": {{"must-ask-in": 2000}},
+              "limits": {{"connect-timeout": 2000, "try-limit": 6, "cancel": true, "retry-after": true}}}}}}"#
+    );
+    Daemon::start(&irc_config(&[], ""), Some(&config))
+}
+
+fn open(daemon: &Daemon) -> Client {
+    let mut client = Client::connect(&daemon.platform);
+    client.say("OPEN 9b1f 7f3a c=chat,d=3000");
+    client
+}
+
+#[test]
+fn changes_are_followed_the_watch_is_renewed_at_once_and_asked_for_again_after_a_failure() {
+    let ((old, old_lines), (new, new_lines)) = (host("UP old", false), host("UP new", false));
+    let first = list(2, false, &[entry("s-00000001", old, "draining"), entry("s-00000002", new, "ready")]);
+    let answers = vec![(200, first), (503, String::new()), (200, list(3, false, &[]))];
+    let (at, calls) = discovery(answers);
+    let daemon = daemon(at, &list(1, true, &[entry("s-00000001", old, "ready")]));
+    until("the watch was renewed, and asked for again after it failed", || calls.lock().unwrap().len() >= 4);
+    let calls = calls.lock().unwrap().clone();
+    let froms: Vec<_> =
+        calls.iter().map(|(_, call)| call.split("from=").nth(1).unwrap()[..1].to_owned()).collect();
+    assert_eq!(froms, ["1", "2", "2", "3"]);
+    assert!(calls[1].0 - calls[0].0 < Duration::from_millis(200), "renewed too late");
+    assert!(calls[0].1.contains("&hold_ms="), "{}", calls[0].1);
+    for _ in 0..5 {
+        assert_eq!(open(&daemon).line(), "UP new");
+    }
+    assert!(old_lines.lock().unwrap().is_empty());
+    assert!(new_lines.lock().unwrap()[0].starts_with("OPEN 9b1f 7f3a c=chat,d="));
+}
+
+#[test]
+fn lines_go_through_in_pieces_and_ends_go_through_both_ways() {
+    let (shop, lines) = host("UP 1", false);
+    let (at, _) = discovery(Vec::new());
+    let daemon = daemon(at, &list(1, true, &[entry("s-00000001", shop, "ready")]));
+    let mut client = Client::connect(&daemon.platform);
+    for piece in ["PI", "NG\r", "\nOPEN 9b1f 7f3a c=ch", "at,d=3000\r", "\n"] {
+        client.stream.write_all(piece.as_bytes()).expect("written");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!((client.line(), client.line()), ("PONG".to_owned(), "UP 1".to_owned()));
+    client.say(&"z".repeat(100_000));
+    assert_eq!(client.line().len(), 100_000);
+    // It ends its sending, and still reads to the end.
+    client.say("last");
+    client.stream.shutdown(Shutdown::Write).expect("ended");
+    assert_eq!(client.rest(), "last\r\n");
+    until("the host sees the end", || lines.lock().unwrap().iter().any(|line| line == "end"));
+
+    let mut wrong = Client::connect(&daemon.platform);
+    wrong.say("HELO");
+    assert_eq!(wrong.rest(), "ERR\r\n");
+    let mut long = Client::connect(&daemon.platform);
+    let _ = long.stream.write_all(&[b'x'; 5000]);
+    assert_eq!(long.rest(), "ERR\r\n");
+}
+
+#[test]
+fn a_silent_host_has_its_asking_client_moved() {
+    let (shop, _) = host("UP 1", true);
+    let (at, _) = discovery(Vec::new());
+    let daemon = daemon(at, &list(1, true, &[entry("s-00000001", shop, "ready")]));
+    let mut client = open(&daemon);
+    assert_eq!(client.line(), "UP 1");
+    client.say("M 1");
+    let since = Instant::now();
+    assert_eq!(client.rest(), "MOVE\r\n");
+    assert!(since.elapsed() > Duration::from_secs(4), "sound hosts may take a while");
+}
+
+#[test]
+fn no_host_means_busy_at_once_with_the_wait() {
+    let (at, _) = discovery(Vec::new());
+    let daemon = daemon(at, &list(1, true, &[]));
+    let since = Instant::now();
+    let answer = open(&daemon).rest();
+    let wait = answer.strip_prefix("BUSY ").and_then(|rest| rest.trim_end().parse::<u64>().ok());
+    assert!(wait.is_some_and(|ms| ms > 0), "{answer}");
+    assert!(since.elapsed() < LONG / 2, "held back");
+}
+
+/// Danger: a client that does not read must not fill the memory with what its host sends.
+#[test]
+fn a_client_that_does_not_read_holds_its_host_back() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let shop = listener.local_addr().expect("an address");
+    let sent = Arc::new(Mutex::new(0usize));
+    let count = sent.clone();
+    std::thread::spawn(move || {
+        let (mut stream, _): (TcpStream, _) = listener.accept().expect("a leg");
+        let _ = stream.write_all(b"UP 1\r\n");
+        let _ = stream.set_write_timeout(Some(Duration::from_millis(700)));
+        let line = [&[b'x'; 998][..], b"\r\n"].concat();
+        while stream.write_all(&line).is_ok() && *count.lock().unwrap() < 64 << 20 {
+            *count.lock().unwrap() += line.len();
+        }
+        *count.lock().unwrap() |= 1;
+    });
+    let (at, _) = discovery(Vec::new());
+    let daemon = daemon(at, &list(1, true, &[entry("s-00000001", shop, "ready")]));
+    let mut client = open(&daemon);
+    assert_eq!(client.line(), "UP 1");
+    until("the host can send no more", || *sent.lock().unwrap() & 1 == 1);
+    let held = *sent.lock().unwrap();
+    assert!(held < 32 << 20, "{held} bytes were taken for a client that does not read");
+}
