--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -60,6 +60,9 @@
     irc::Connection::new(Rc::new(irc::Setup { name: "f".to_owned(), ..irc::Setup::default() }))
 }
 
+/// A front, what an acquirer side asks it with, and what a host accepts with.
+type Case = (Box<dyn Front>, &'static [u8], &'static [u8]);
+
 const OPEN: &[u8] = b"PING\r\nOPEN 9b1f 7f3a c=chat,t=acme,d=2000.5,g=5c0f6e1a2b3d4c59,h=1.5,x=\r\n";
 
 proptest! {
@@ -100,7 +103,7 @@
             prop_oneof![Just(b'\n'), Just(b' '), Just(b':'), Just(0), prop::sample::select(b"PINGOPENUPCAPBYE001=,@".to_vec()), any::<u8>()], 0..300)), 0..30),
         standing in any::<bool>(),
     ) {
-        let fronts: [(Box<dyn Front>, &[u8], &[u8]); 2] = [
+        let fronts: [Case; 2] = [
             (Box::<platform::Connection>::default(), OPEN, b"UP 1\r\n"),
             (Box::new(irc_front()), b"NICK a\r\nUSER u 0 * :r\r\n", b":h 001 a :w\r\n"),
         ];
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -10,6 +10,8 @@
 use standins::{irc_config, until, Client, Daemon, LONG};
 
 type Lines = Arc<Mutex<Vec<String>>>;
+/// Calls of discovery, with their times.
+type Calls = Arc<Mutex<Vec<(Instant, String)>>>;
 
 /// A shop host: accepts, sends lines back, and keeps what it was sent. `silent` ones go mute after `UP`.
 fn host(up: &'static str, silent: bool) -> (SocketAddr, Lines) {
@@ -37,10 +39,10 @@
 }
 
 /// Discovery: keeps when it was called with what, and answers each call by the next of these, then by none.
-fn discovery(answers: Vec<(u16, String)>) -> (SocketAddr, Arc<Mutex<Vec<(Instant, String)>>>) {
+fn discovery(answers: Vec<(u16, String)>) -> (SocketAddr, Calls) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
-    let calls = Arc::new(Mutex::new(Vec::new()));
+    let calls = Calls::default();
     let (kept, answers) = (calls.clone(), Arc::new(Mutex::new(answers.into_iter())));
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
