Add 'set' for hosts and limits in the store, and check configuration faults by key

Without it nothing could write the store's hosts and limits. The list is always asked for on sockets (must_ask), whatever a configuration leaves out: a watch that broke would never have been asked for again.

--- a/src/program/commands.rs
+++ b/src/program/commands.rs
@@ -22,6 +22,7 @@
     Check(Check),
     Replay(Replay),
     Drain(Drain),
+    Set(Set),
     Version(Version),
 }
 
@@ -88,6 +89,22 @@
     undo: bool,
 }
 
+/// Write a key of the store: host/NAME ("ADDRESS [ZONE [WEIGHT]]"), life/NAME (draining or gone) or
+/// limit/connections (a number). Written at one node, it takes effect at all of them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "set")]
+struct Set {
+    /// key
+    #[argh(positional)]
+    key: String,
+    /// value; without one the key is taken away
+    #[argh(positional)]
+    value: Option<String>,
+    /// address of any node's store on this machine
+    #[argh(option)]
+    store: std::net::SocketAddr,
+}
+
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -129,6 +146,13 @@
             println!("{} {does}; written at node {} as {}", drain.host, entry.node, entry.counter);
             Ok(())
         }
+        Command::Set(set) => {
+            config::store_entry(&set.key, set.value.as_deref())?;
+            let entry = transport::write_at(set.store, &set.key, set.value)?;
+            let value = entry.value.as_deref().unwrap_or("nothing");
+            println!("{} is {value}; written at node {} as {}", set.key, entry.node, entry.counter);
+            Ok(())
+        }
         Command::Version(_) => {
             println!("sagemount {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -8,7 +8,7 @@
 use crate::protocol::irc;
 use crate::protocol::json::{self, Fault, Place};
 use crate::routing::store::LONGEST_NODE;
-use crate::routing::{IssuerHost, Lifecycle, PoolSetup};
+use crate::routing::{stored_host, IssuerHost, Lifecycle, PoolSetup};
 use crate::{Class, Micros, Repeat, Scope, Settings, Tenant, ZoneId};
 
 /// The acquirer side of the platform has so long for its first line.
@@ -233,6 +233,29 @@
     u64::from_str_radix(&text, 16).map_err(|_| place.fault("up to 16 hexadecimal digits are wanted"))
 }
 
+/// Checks what an operator writes to the store.
+pub fn store_entry(key: &str, value: Option<&str>) -> Result<(), String> {
+    let (sound, wanted) = match (key.split_once('/'), value) {
+        (Some(("host", name)), value) => {
+            let sound = value.is_none_or(|text| stored_host(name, text).is_some());
+            (sound && !name.is_empty(), "ADDRESS [ZONE [WEIGHT]] is wanted")
+        }
+        (Some(("life", name)), value) => {
+            let sound = value.is_none_or(|text| ["draining", "gone"].contains(&text));
+            (sound && !name.is_empty(), "draining or gone is wanted")
+        }
+        (Some(("limit", "connections")), value) => {
+            (value.is_none_or(|text| text.parse::<usize>().is_ok()), "a number is wanted")
+        }
+        _ => (false, "host/NAME, life/NAME or limit/connections is wanted"),
+    };
+    if sound {
+        Ok(())
+    } else {
+        Err(format!("{key}: {wanted}"))
+    }
+}
+
 /// The platform's settings, in the module's terms.
 pub fn pool(settings: &Place<'_>, seed: u64) -> Result<PoolSetup, Fault> {
     let default = Settings::default();
@@ -286,7 +309,8 @@
         retry_after: limits.at("retry-after").flag(false)?,
         max_retry_after: limits.at("max-retry-after").millis(default.max_retry_after)?,
         connect_timeout: limits.at("connect-timeout").millis(default.connect_timeout)?,
-        must_ask: settings.at("discovery").text()?.as_deref() == Some("on_request"),
+        // On sockets a list comes only when it is asked for, whatever the simulator does.
+        must_ask: true,
         must_ask_in: rules.at("must-ask-in").millis(default.must_ask_in)?,
         // No issuer host of this shop may be probed, nor does one report its load.
         probes: false,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 
 use store::{Entry, Gossip, Letter, Store};
-pub use table::{host_number, IssuerHost, Lifecycle, RoutingTable};
+pub use table::{host_number, stored_host, IssuerHost, Lifecycle, RoutingTable};
 
 use crate::{
     Action, Balancer, ClassId, Event, GroupId, Micros, Note, Outcome, RequestId, ServerId, Settings,
@@ -573,7 +573,7 @@
         let pool = &mut self.pools[pool_id];
         let mut hosts = pool.listed.clone();
         if pool.setup.from_store {
-            let added = self.store.under("host/").filter_map(|(name, text)| table::stored_host(name, text));
+            let added = self.store.under("host/").filter_map(|(name, text)| stored_host(name, text));
             hosts.extend(added.map(|host| (host.name.clone(), host)));
         }
         for (name, text) in self.store.under("life/") {
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,70 @@
+//! Configuration: what is wrong is told by its key.
+
+use sagemount::program::config::{parse_operator, parse_platform, store_entry};
+
+#[test]
+fn the_operators_file_that_is_shipped_is_sound() {
+    let operator = parse_operator(include_bytes!("../deploy/irc.json")).expect("sound");
+    assert_eq!((operator.irc.hosts.len(), operator.store), (2, None));
+    assert_eq!(operator.irc.pool.greeting, 10_000_000);
+}
+
+#[test]
+fn faults_of_an_operators_file_name_their_key() {
+    let told = |text: &str| parse_operator(text.as_bytes()).expect_err("faulty").to_string();
+    let with = |more: &str| told(&format!("{{\"listen\": \"127.0.0.1:6667\", {more}}}"));
+    assert_eq!(told("{}"), "listen: is missing");
+    assert!(told("{").starts_with("document: not JSON"));
+    assert!(told(r#"{"listen": "localhost"}"#).starts_with("listen: an address with a port is wanted"));
+    assert_eq!(with(r#""lisen": 1"#), "lisen: no such key is known");
+    assert_eq!(with(r#""limits": {"legs": "six"}"#), "limits.legs: a number of 0 or more is wanted");
+    assert_eq!(with(r#""limits": {"legs": -1}"#), "limits.legs: a number of 0 or more is wanted");
+    assert_eq!(with(r#""hosts": [{"name": "a"}]"#), "hosts[0].address: is missing");
+    assert_eq!(with(r#""hosts": {}"#), "hosts: a list is wanted");
+    assert_eq!(with(r#""store": {"listen": "127.0.0.1:1"}"#), "store.node: is missing");
+    assert!(with(r#""store": {"node": "n", "listen": "127.0.0.1:1", "peers": ["x"]}"#)
+        .starts_with("store.peers[0]: "));
+    assert_eq!(with(r#""seed": "xyz""#), "seed: up to 16 hexadecimal digits are wanted");
+}
+
+#[test]
+fn faults_of_the_platforms_configuration_name_their_key() {
+    let told = |more: &str| {
+        let text = format!(r#"{{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", {more}}}"#);
+        parse_platform(text.as_bytes()).expect_err("faulty").to_string()
+    };
+    let class = |more: &str| told(&format!(r#""settings": {{"classes": [{{"name": "a"}}, {{{more}}}]}}"#));
+    assert_eq!(class(""), "settings.classes[1].name: is missing");
+    assert!(
+        class(r#""name": "b", "repeat": "often""#).starts_with("settings.classes[1].repeat: repeatable, ")
+    );
+    let host =
+        r#""known": {"instances": [{"instanceId": "s", "hostPort": "127.0.0.1:3", "lifecycle": "odd"}]}"#;
+    assert!(told(host).starts_with("known.instances[0].lifecycle: ready, draining or gone is wanted"));
+    assert_eq!(
+        told(r#""settings": {"limits": {"cancel": "no"}}"#),
+        "settings.limits.cancel: true or false is wanted"
+    );
+}
+
+#[test]
+fn what_an_operator_writes_to_the_store_is_checked() {
+    for (key, value) in [
+        ("host/irc-3", Some("127.0.0.1:6667 dc-west 2")),
+        ("host/irc-3", None),
+        ("life/irc-3", Some("draining")),
+        ("limit/connections", Some("12")),
+    ] {
+        assert_eq!(store_entry(key, value), Ok(()), "{key} {value:?}");
+    }
+    for (key, value) in [
+        ("host/irc-3", Some("irc.example:6667")),
+        ("host/", None),
+        ("life/irc-3", Some("drainign")),
+        ("limit/connections", Some("-1")),
+        ("limits", Some("1")),
+    ] {
+        let told = store_entry(key, value).expect_err("faulty");
+        assert!(told.starts_with(key), "{told}");
+    }
+}
--- a/tests/irc.rs
+++ b/tests/irc.rs
@@ -151,6 +151,23 @@
     Client::register(&daemon.irc, "ida").expect(" 263 ida ");
 }
 
+#[test]
+fn hosts_and_limits_come_from_the_store_too() {
+    let server = Server::start(Manner::Welcome);
+    let daemon = front(&[], "");
+    Client::register(&daemon.irc, "ines").expect(" 263 ines ");
+    daemon.command(&["set", "host/irc-9", &server.address.to_string()]);
+    let mut first = Client::register(&daemon.irc, "ines");
+    first.expect("001 ines");
+    daemon.command(&["set", "limit/connections", "1"]);
+    Client::register(&daemon.irc, "jana").expect(" 263 jana ");
+    daemon.command(&["set", "limit/connections"]);
+    Client::register(&daemon.irc, "jana").expect("001 jana");
+    // Taken away, a host's clients have to go at once.
+    daemon.command(&["set", "host/irc-9"]);
+    first.expect(" 010 ines ");
+}
+
 #[test]
 fn at_sigterm_everyone_is_moved_what_arrives_is_answered_and_the_daemon_goes() {
     let server = Server::start(Manner::Welcome);
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -185,8 +185,13 @@
     }
 
     pub fn drain(&self, host: &str) {
+        self.command(&["drain", host]);
+    }
+
+    /// Runs a command at this daemon's store.
+    pub fn command(&self, words: &[&str]) {
         let mut command = Command::new(env!("CARGO_BIN_EXE_sagemount"));
-        let output = command.args(["drain", host, "--store", &self.store]).output().expect("runs");
+        let output = command.args(words).args(["--store", &self.store]).output().expect("runs");
         assert!(output.status.success(), "{output:?}");
     }
 
