--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -92,7 +92,11 @@
     }
 
     pub fn drain(&mut self, host: usize) -> Vec<Effect> {
-        let hosts = vec![self.host(host, Lifecycle::Draining)];
+        self.list(host, Lifecycle::Draining)
+    }
+
+    pub fn list(&mut self, host: usize, lifecycle: Lifecycle) -> Vec<Effect> {
+        let hosts = vec![self.host(host, lifecycle)];
         self.put(Input::Table { pool: 0, whole: false, hosts })
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -195,3 +195,20 @@
     let held = *sent.lock().unwrap();
     assert!(held < 32 << 20, "{held} bytes were taken for a client that does not read");
 }
+
+#[test]
+fn at_sigterm_players_are_moved_what_arrives_is_answered_and_the_exit_is_in_time() {
+    let (shop, _) = host("UP 1", false);
+    let (at, _) = discovery(Vec::new());
+    let mut daemon = daemon(at, &list(1, true, &[entry("s-00000001", shop, "ready")]));
+    let mut standing: Vec<Client> = (0..5).map(|_| open(&daemon)).collect();
+    standing.iter_mut().for_each(|client| assert_eq!(client.line(), "UP 1"));
+    let since = Instant::now();
+    daemon.signal("-TERM");
+    daemon.log_line("leaving");
+    assert!(open(&daemon).rest().starts_with("BUSY "));
+    standing.iter_mut().for_each(|client| assert_eq!(client.rest(), "MOVE\r\n"));
+    assert!(daemon.exited());
+    // SIGKILL comes 3.7 s after; all here is moved within two.
+    assert!(since.elapsed() >= Duration::from_secs(1), "gone while connections still come");
+}
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -98,6 +98,17 @@
     assert_eq!(desk.put(Input::Tick).last(), Some(&Effect::Exit));
 }
 
+/// A connection that its host has ended must be moved within a second: what is gone answers nobody.
+#[test]
+fn clients_of_a_host_that_is_gone_are_moved_at_once() {
+    let mut desk = Desk::new();
+    let (auth, host) = desk.written();
+    desk.put(Input::LegUp { auth, leg: 0 });
+    let effects = desk.list(host, Lifecycle::Gone);
+    let moved = Effect::Answer { auth, answer: Answer::Moved };
+    assert_eq!(effects, [moved, Effect::CloseLeg { auth }]);
+}
+
 /// A connection that stood before the start is tried again while its host does not take it.
 #[test]
 fn a_standing_connection_is_tried_again_at_its_own_host() {
