Read the configuration again on SIGHUP, and keep what stands

Exit 129 is an unhandled SIGHUP: transport::run caught SIGTERM and SIGINT only.

Now transport::Daemon::reload reads and checks the files, binds what is new, and only then feeds Input::Configure. The reducer swaps each pool's setup under what is out, numbers classes, tenants and zones by name, and moves the watch where discovery has another address. The new discovery is asked for the whole list. The IRC front's file goes the same way.

Tests: sighup_* on both fronts, another_configuration_* in the reducer; without the handler the daemon ends.

--- a/src/program/commands.rs
+++ b/src/program/commands.rs
@@ -5,7 +5,7 @@
 
 use argh::FromArgs;
 
-use super::config::{self, Config};
+use super::config::{self, Sources};
 use crate::transport;
 
 /// A connection balancer for the shop platform and IRC.
@@ -26,7 +26,7 @@
     Version(Version),
 }
 
-/// Run the balancer in the foreground until SIGTERM.
+/// Run the balancer in the foreground until SIGTERM; SIGHUP has it read its configuration again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -110,16 +110,15 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn read(config: Option<PathBuf>, irc: Option<PathBuf>) -> Result<Config, String> {
-    let config = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
-    config::read(config.as_deref(), irc.as_deref())
+fn sources(config: Option<PathBuf>, irc: Option<PathBuf>) -> Sources {
+    Sources { platform: config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from)), irc }
 }
 
 fn carry_out(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(serve) => {
             let record = serve.record.as_deref().map(|path| (path, serve.record_mb << 20));
-            transport::serve(read(serve.config, serve.irc)?, record)
+            transport::serve(sources(serve.config, serve.irc), record)
         }
         Command::Replay(replay) => {
             let config = match replay.front {
@@ -129,7 +128,7 @@
             transport::replay(&replay.file, config, replay.front, replay.port)
         }
         Command::Check(check) => {
-            let config = read(check.config, check.irc)?;
+            let config = sources(check.config, check.irc).read()?;
             if let Some(platform) = config.platform {
                 let hosts = platform.known.hosts.len();
                 println!("platform: sound; {} on {}, {hosts} hosts known", platform.name, platform.listen);
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -48,14 +48,28 @@
     pub name: String,
     /// Where the platform's acquirer side connects.
     pub listen: SocketAddr,
-    /// Discovery.
-    pub discovery: SocketAddr,
     /// The routing table as last held.
     pub known: News,
     /// The platform's pool.
     pub pool: PoolSetup,
 }
 
+/// Where the configuration stands; it is read again on SIGHUP.
+#[derive(Debug)]
+pub struct Sources {
+    /// The platform's configuration.
+    pub platform: Option<PathBuf>,
+    /// An operator's file.
+    pub irc: Option<PathBuf>,
+}
+
+impl Sources {
+    /// Reads and checks all of it.
+    pub fn read(&self) -> Result<Config, String> {
+        read(self.platform.as_deref(), self.irc.as_deref())
+    }
+}
+
 /// Reads a file, with its name in the message when that fails.
 pub fn read_file(path: &Path) -> Result<Vec<u8>, String> {
     std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))
@@ -81,12 +95,14 @@
     let document = json::document(text)?;
     let root = Place::root(&document);
     let known = root.at("known");
+    let (listen, discovery) = (address(&root.at("listen"))?, address(&root.at("discovery"))?);
+    let mut pool = pool(&root.at("settings"), seed(&root.at("seed"))?)?;
+    pool.discovery = Some(discovery);
     Ok(Platform {
         name: root.at("name").text()?.unwrap_or_else(|| "sagemount".to_owned()),
-        listen: address(&root.at("listen"))?,
-        discovery: address(&root.at("discovery"))?,
+        listen,
         known: http::news(&known)?,
-        pool: pool(&root.at("settings"), seed(&root.at("seed"))?)?,
+        pool,
     })
 }
 
@@ -103,6 +119,15 @@
     pub pool: PoolSetup,
 }
 
+impl Irc {
+    /// Port 0 asks the system for one: that is where clients come again.
+    pub fn take_port(&mut self, at: SocketAddr) {
+        if self.setup.address.1 == 0 {
+            self.setup.address.1 = at.port();
+        }
+    }
+}
+
 /// An operator's file.
 #[derive(Debug)]
 pub struct Operator {
@@ -181,6 +206,7 @@
             zones,
             settings,
             seed: seed(&root.at("seed"))?,
+            discovery: None,
             greeting: give_up,
             from_store: true,
             most_held: limits.at("connections").number(10_000.0)? as usize,
@@ -267,6 +293,7 @@
         zones: settings.at("zones").texts()?,
         settings: default.clone(),
         seed,
+        discovery: None,
         greeting: PLATFORM_GREETING,
         from_store: false,
         most_held: usize::MAX,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -124,6 +124,8 @@
     TableLost { pool: PoolId },
     /// Another node's store, or an operator's command, sent this.
     Gossip { from: SocketAddr, gossip: Gossip },
+    /// The configuration was read again: its pools in the old order, and the other stores.
+    Configure { pools: Vec<PoolSetup>, peers: Vec<SocketAddr> },
     /// This balancer is to leave.
     Leave,
     /// Time has come to something.
@@ -141,6 +143,8 @@
     Answer { auth: AuthId, answer: Answer },
     /// Watch a routing table, telling what was missed first.
     Watch { pool: PoolId },
+    /// Let the old watch go and watch at this address, which tells the whole list first.
+    WatchAt { pool: PoolId, discovery: SocketAddr },
     /// Send this to another node's store, or to whoever gave a command.
     Tell(Letter),
     /// Put an entry of the store where it outlives the process.
@@ -173,6 +177,8 @@
     pub settings: Settings,
     /// The seed of its chance.
     pub seed: u64,
+    /// Where its routing table is watched; none where it comes from a file.
+    pub discovery: Option<SocketAddr>,
     /// The acquirer side has so long to ask.
     pub greeting: Micros,
     /// The store may add issuer hosts, and says how many connections may be held; where it does not, so many.
@@ -188,6 +194,34 @@
     pub longest_wait: Micros,
 }
 
+impl PoolSetup {
+    /// This setup in the place of another. Danger: authorisations that are out know their class, tenant and
+    /// zone by number, so names keep theirs; one that is no longer configured is there by no name.
+    fn after(mut self, old: &PoolSetup) -> PoolSetup {
+        let now = &mut self.settings;
+        let own = self.zones.get(now.zone.0 as usize).cloned();
+        self.classes = renumber(&old.classes, &old.settings.classes, &self.classes, &mut now.classes);
+        self.tenants = renumber(&old.tenants, &old.settings.tenants, &self.tenants, &mut now.tenants);
+        self.zones = renumber(&old.zones, &old.zones, &self.zones, &mut self.zones.clone());
+        let own = own.and_then(|own| self.zones.iter().position(|zone| *zone == own));
+        now.zone = crate::ZoneId(own.unwrap_or(0) as u16);
+        self
+    }
+}
+
+/// Names in an order in which the old ones keep their places, and what they stand for in the same order.
+fn renumber<T: Clone>(old: &[String], olds: &[T], names: &[String], items: &mut Vec<T>) -> Vec<String> {
+    let at = |name: &String| names.iter().position(|n| n == name);
+    let name_of = |name: &String| if at(name).is_some() { name.clone() } else { String::new() };
+    let added = |name: &&String| !old.contains(name);
+    let item_of = |(name, old): (&String, &T)| at(name).and_then(|n| items.get(n)).unwrap_or(old).clone();
+    let kept = old.iter().zip(olds).map(item_of);
+    let new = names.iter().zip(items.iter()).filter(|(name, _)| added(name)).map(|(_, item)| item.clone());
+    let merged = kept.chain(new).collect();
+    *items = merged;
+    old.iter().map(name_of).chain(names.iter().filter(added).cloned()).collect()
+}
+
 struct Pool {
     setup: PoolSetup,
     balancer: Balancer,
@@ -327,6 +361,7 @@
             Input::Table { pool, whole, hosts } => self.follow(now, pool, whole, hosts),
             Input::TableLost { pool } => self.tell(now, pool, Event::ListFailed),
             Input::Gossip { from, gossip } => self.gossip(now, from, gossip),
+            Input::Configure { pools, peers } => self.configure(now, pools, peers),
             Input::Leave => self.leave(now),
             Input::Tick => self.tick(now),
         }
@@ -552,6 +587,26 @@
         self.end(now, id, outcome);
     }
 
+    // ---- Configuration ----
+
+    /// Another configuration takes the place of the old at one go. What is out, what stands and what was
+    /// learned of hosts stays, and so does the routing table, until the new discovery tells another.
+    fn configure(&mut self, now: Time, setups: Vec<PoolSetup>, peers: Vec<SocketAddr>) {
+        for (id, setup) in setups.into_iter().enumerate().take(self.pools.len()) {
+            let pool = &mut self.pools[id];
+            let setup = setup.after(&pool.setup);
+            let moved = setup.discovery.filter(|_| setup.discovery != pool.setup.discovery);
+            pool.balancer.configure(setup.settings.clone());
+            pool.setup = setup;
+            self.refresh(now, id);
+            self.effects.extend(moved.map(|discovery| Effect::WatchAt { pool: id, discovery }));
+        }
+        if self.peers != peers {
+            self.gossip_at = (!peers.is_empty()).then_some(now);
+            self.peers = peers;
+        }
+    }
+
     // ---- Routing table ----
 
     fn follow(&mut self, now: Time, pool_id: PoolId, whole: bool, hosts: Vec<IssuerHost>) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -174,7 +174,6 @@
 impl Balancer {
     /// A balancer that knows its settings and nothing else.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Balancer {
-        let aims = settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
         Balancer {
             rng: Pcg64Mcg::seed_from_u64(seed),
             servers: BTreeMap::new(),
@@ -186,7 +185,7 @@
             list_failures: 0,
             probe_credit: 0.0,
             lately: settings.max_retry_after,
-            message_aim: aims.min().unwrap_or(0),
+            message_aim: settings.message_aim(),
             loads: Mean::default(),
             class_loads: vec![Mean::default(); settings.classes.len()],
             hints: Mean::default(),
@@ -194,6 +193,13 @@
         }
     }
 
+    /// Other settings from now on; what was learned and what is out stays. Classes must keep their numbers.
+    pub fn configure(&mut self, settings: Settings) {
+        self.class_loads.resize(settings.classes.len(), Mean::default());
+        self.message_aim = settings.message_aim();
+        self.settings = settings;
+    }
+
     /// Takes in one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Time, event: Event<'_>, actions: &mut Vec<Action>) {
         match event {
@@ -736,11 +742,7 @@
 
     /// Danger: a list may carry no weight, or a nonsensical one.
     fn weight(&self) -> f64 {
-        if self.listed.weight > 0.0 && self.listed.weight.is_finite() {
-            self.listed.weight
-        } else {
-            1.0
-        }
+        Some(self.listed.weight).filter(|weight| *weight > 0.0 && weight.is_finite()).unwrap_or(1.0)
     }
 
     fn attempt(&self, number: u32, sent: Time) -> Attempt {
@@ -814,13 +816,8 @@
     /// several has them all or is blocked. Half of all slots will do, or small servers would take none.
     fn room(&self, settings: &Settings, now: Time, slots: f64) -> f64 {
         let ceiling = self.ceiling * self.warmth(settings, now);
-        let free = ceiling - self.held;
-        let enough = free > 0.0 && free >= slots.min(ceiling / 2.0);
-        if enough {
-            free
-        } else {
-            0.0
-        }
+        let free = Some(ceiling - self.held);
+        free.filter(|free| *free > 0.0 && *free >= slots.min(ceiling / 2.0)).unwrap_or(0.0)
     }
 
     /// Danger: cuts drive a ceiling under what the server turns out to carry well. Each time that trouble
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, Notify};
+use tokio::task::JoinHandle;
 
 use super::files::Files;
 use super::record::Recorder;
@@ -77,7 +78,7 @@
     pub(super) observed: RefCell<Option<Observed>>,
     met: RefCell<HashMap<AuthId, Time>>,
     pub(super) recorder: RefCell<Option<Recorder>>,
-    watches: RefCell<HashMap<usize, mpsc::Sender<()>>>,
+    watches: RefCell<HashMap<usize, (mpsc::Sender<()>, JoinHandle<()>)>>,
     next: Cell<u64>,
     exit: mpsc::UnboundedSender<()>,
     timer: Notify,
@@ -131,11 +132,12 @@
                 Effect::CloseLeg { auth } => self.order(auth, Order::CloseLeg),
                 Effect::Answer { auth, answer } => self.order(auth, Order::Answer(answer)),
                 Effect::Watch { pool } => {
-                    if let Some(watch) = self.watches.borrow().get(&pool) {
+                    if let Some((watch, _)) = self.watches.borrow().get(&pool) {
                         // A watch that is asked for already needs no second word.
                         let _ = watch.try_send(());
                     }
                 }
+                Effect::WatchAt { pool, discovery } => self.watch(pool, discovery, None),
                 Effect::Tell((to, gossip)) => self.tell(to, &gossip),
                 Effect::Keep { key, entry } => {
                     if let Some(files) = self.files.borrow_mut().as_mut() {
@@ -247,13 +249,16 @@
         }
     }
 
-    /// Watches a routing table whenever the reducer asks for it.
-    pub fn watch(self: &Rc<Self>, pool: usize, discovery: SocketAddr, generation: u64) {
+    /// Watches a routing table at this address whenever the reducer asks for it; an old watch is let go.
+    pub fn watch(self: &Rc<Self>, pool: usize, discovery: SocketAddr, generation: Option<u64>) {
         let (sender, wanted) = mpsc::channel(1);
         // The reducer asked for it with the first list, before there was anyone to ask.
         let _ = sender.try_send(());
-        self.watches.borrow_mut().insert(pool, sender);
-        tokio::task::spawn_local(watch::follow(self.clone(), pool, discovery, generation, wanted));
+        let following = watch::follow(self.clone(), pool, discovery, generation, wanted);
+        let watch = (sender, tokio::task::spawn_local(following));
+        if let Some((_, old)) = self.watches.borrow_mut().insert(pool, watch) {
+            old.abort();
+        }
     }
 
     /// Tells the reducer whenever time has come to something.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -16,8 +16,9 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::JoinHandle;
 
-use crate::program::config::Config;
+use crate::program::config::{Config, Sources, StoreConfig};
 use crate::protocol::{gossip, irc, platform, Front};
 use crate::routing::store::{Entry, Gossip};
 use crate::routing::{Input, State, StoreSetup};
@@ -26,11 +27,11 @@
 pub use replay::{replay, Which};
 
 /// Runs the daemon until it has left. Front traffic may be recorded, to a file of so many bytes at most.
-pub fn serve(config: Config, record: Option<(&Path, usize)>) -> Result<(), String> {
+pub fn serve(sources: Sources, record: Option<(&Path, usize)>) -> Result<(), String> {
     let recorder = record.map(|(path, most)| Recorder::create(path, most)).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-    tokio::task::LocalSet::new().block_on(&runtime, run(config, recorder))
+    tokio::task::LocalSet::new().block_on(&runtime, run(sources, recorder))
 }
 
 /// Takes connections as fast as they come, a burst of reconnecting clients included.
@@ -49,6 +50,15 @@
 /// Makes the connections of a front.
 type Makes = Box<dyn Fn() -> Box<dyn Front>>;
 
+fn platform_makes() -> Makes {
+    Box::new(|| Box::<platform::Connection>::default())
+}
+
+fn irc_makes(setup: irc::Setup) -> Makes {
+    let setup = Rc::new(setup);
+    Box::new(move || Box::new(irc::Connection::new(setup.clone())))
+}
+
 /// The reducer with the fronts that feed it.
 struct Fronts {
     hub: Rc<Hub>,
@@ -71,13 +81,12 @@
         let mut pool = 0;
         if let Some(platform) = platform {
             fronts.hub.feed(Input::Table { pool, whole: true, hosts: platform.known.hosts });
-            fronts.platform = Some((pool, Box::new(|| Box::<platform::Connection>::default())));
+            fronts.platform = Some((pool, platform_makes()));
             pool += 1;
         }
         if let Some(irc) = irc {
             fronts.hub.feed(Input::Table { pool, whole: true, hosts: irc.hosts });
-            let setup = Rc::new(irc.setup);
-            fronts.irc = Some((pool, Box::new(move || Box::new(irc::Connection::new(setup.clone())))));
+            fronts.irc = Some((pool, irc_makes(irc.setup)));
         }
         Ok(fronts)
     }
@@ -90,51 +99,138 @@
     }
 }
 
-async fn run(mut config: Config, recorder: Option<Recorder>) -> Result<(), String> {
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+/// Where a front takes its connections.
+struct Door {
+    /// As configured, perhaps without a port of its own.
+    wanted: SocketAddr,
+    listener: Rc<TcpListener>,
+    accepting: JoinHandle<()>,
+}
+
+impl Door {
+    fn open(hub: &Rc<Hub>, wanted: SocketAddr, listener: Rc<TcpListener>, pool: usize, makes: Makes) -> Door {
+        let accepting = tokio::task::spawn_local(accept(hub.clone(), listener.clone(), pool, makes));
+        Door { wanted, listener, accepting }
+    }
+
+    /// A listener at this address: that of an old door where it is the same.
+    fn listener(old: Option<&Door>, wanted: SocketAddr) -> Result<Rc<TcpListener>, String> {
+        match old.filter(|door| door.wanted == wanted) {
+            Some(door) => Ok(door.listener.clone()),
+            None => listen(wanted).map(Rc::new),
+        }
+    }
+
+    /// Takes the place of an old door, which accepts nothing more.
+    fn replace(self, old: &mut Option<Door>) {
+        if let Some(old) = old.replace(self) {
+            old.accepting.abort();
+        }
+    }
+}
+
+fn bound(listener: &TcpListener, wanted: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(wanted)
+}
+
+/// The daemon with what may change while it runs.
+struct Daemon {
+    hub: Rc<Hub>,
+    sources: Sources,
+    store: Option<StoreConfig>,
+    platform: Option<Door>,
+    irc: Option<Door>,
+}
+
+impl Daemon {
+    /// Reads the configuration again and puts it in place at one go. Danger: what fails may come only before
+    /// the first change, or half of a configuration would be in force.
+    fn reload(&mut self) -> Result<(), String> {
+        let Config { platform, irc, store } = self.sources.read()?;
+        let fixed = |store: &Option<StoreConfig>| {
+            store.clone().map(|store| StoreConfig { peers: Vec::new(), ..store })
+        };
+        if fixed(&store) != fixed(&self.store) {
+            return Err("store: only its peers may change without a restart".to_owned());
+        }
+        let bind = |old: &Option<Door>, wanted| Door::listener(old.as_ref(), wanted);
+        let shop = platform.map(|p| bind(&self.platform, p.listen).map(|at| (p, at))).transpose()?;
+        let irc = irc.map(|irc| bind(&self.irc, irc.listen).map(|at| (irc, at))).transpose()?;
+
+        let pools =
+            shop.iter().map(|(p, _)| p.pool.clone()).chain(irc.iter().map(|(irc, _)| irc.pool.clone()));
+        let peers = store.as_ref().map_or(Vec::new(), |store| store.peers.clone());
+        self.store = store;
+        self.hub.feed(Input::Configure { pools: pools.collect(), peers });
+        let mut pool = 0;
+        if let Some((platform, listener)) = shop {
+            let at = bound(&listener, platform.listen);
+            crate::log!(info, "{} listens on {at}, as configured anew", platform.name);
+            Door::open(&self.hub, platform.listen, listener, pool, platform_makes())
+                .replace(&mut self.platform);
+            pool += 1;
+        }
+        if let Some((mut irc, listener)) = irc {
+            let at = bound(&listener, irc.listen);
+            irc.take_port(at);
+            crate::log!(info, "{} listens on {at} for IRC, as configured anew", irc.setup.name);
+            self.hub.feed(Input::Table { pool, whole: true, hosts: irc.hosts });
+            Door::open(&self.hub, irc.listen, listener, pool, irc_makes(irc.setup)).replace(&mut self.irc);
+        }
+        Ok(())
+    }
+}
+
+async fn run(sources: Sources, recorder: Option<Recorder>) -> Result<(), String> {
+    let catch = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    // Danger: a signal that nobody catches ends the process.
+    let mut hangup = catch(SignalKind::hangup())?;
+    let (mut term, mut interrupt) = (catch(SignalKind::terminate())?, catch(SignalKind::interrupt())?);
+    let mut config = sources.read()?;
     let (store, mut kept, mut files) = (config.store.clone(), Vec::new(), None);
     if let Some(folder) = store.as_ref().and_then(|store| store.data.as_deref()) {
         let (opened, found) = files::Files::open(folder)?;
         (files, kept) = (Some(opened), found);
     }
-    let platform = config.platform.as_ref().map(|p| (p.name.clone(), p.listen));
-    let watch = config.platform.as_ref().map(|p| (p.discovery, p.known.generation));
-    let mut irc_listener = None;
+    let watch = config.platform.as_ref().and_then(|p| Some((p.pool.discovery?, p.known.generation)));
+    let shop_at = config.platform.as_ref().map(|p| (p.name.clone(), p.listen));
+    let mut irc_at = None;
     if let Some(irc) = &mut config.irc {
-        let listener = listen(irc.listen)?;
-        let at = listener.local_addr().unwrap_or(irc.listen);
-        // Port 0 asks the system for one: that is where clients come again.
-        if irc.setup.address.1 == 0 {
-            irc.setup.address.1 = at.port();
-        }
-        irc_listener = Some((listener, irc.setup.name.clone(), at));
+        let listener = Door::listener(None, irc.listen)?;
+        irc.take_port(bound(&listener, irc.listen));
+        irc_at = Some((irc.setup.name.clone(), irc.listen, listener));
     }
     let Fronts { hub, mut exit, platform: shop, irc } = Fronts::open(config, kept)?;
     *hub.recorder.borrow_mut() = recorder;
     if let Some(files) = files {
         hub.keep_in(files);
     }
-    if let Some(store) = store {
-        let bound = tokio::net::UdpSocket::bind(store.listen).await;
-        let socket = bound.map_err(|e| format!("cannot listen on {}: {e}", store.listen))?;
+    if let Some(store) = &store {
+        let socket = tokio::net::UdpSocket::bind(store.listen).await;
+        let socket = socket.map_err(|e| format!("cannot listen on {}: {e}", store.listen))?;
         let at = socket.local_addr().unwrap_or(store.listen);
         crate::log!(info, "{} hears stores on {at}", store.node);
         hub.hear(socket);
     }
-    if let (Some((pool, makes)), Some((name, at)), Some((discovery, generation))) = (shop, platform, watch) {
-        hub.watch(pool, discovery, generation);
-        let listener = listen(at)?;
-        crate::log!(info, "{name} listens on {}", listener.local_addr().unwrap_or(at));
-        tokio::task::spawn_local(accept(hub.clone(), listener, pool, makes));
+    let mut daemon = Daemon { hub: hub.clone(), sources, store, platform: None, irc: None };
+    if let (Some((pool, makes)), Some((name, wanted)), Some((discovery, from))) = (shop, shop_at, watch) {
+        hub.watch(pool, discovery, Some(from));
+        let listener = Door::listener(None, wanted)?;
+        crate::log!(info, "{name} listens on {}", bound(&listener, wanted));
+        daemon.platform = Some(Door::open(&hub, wanted, listener, pool, makes));
     }
-    if let (Some((pool, makes)), Some((listener, name, at))) = (irc, irc_listener) {
-        crate::log!(info, "{name} listens on {at} for IRC");
-        tokio::task::spawn_local(accept(hub.clone(), listener, pool, makes));
+    if let (Some((pool, makes)), Some((name, wanted, listener))) = (irc, irc_at) {
+        crate::log!(info, "{name} listens on {} for IRC", bound(&listener, wanted));
+        daemon.irc = Some(Door::open(&hub, wanted, listener, pool, makes));
     }
     tokio::task::spawn_local(hub.clone().keep_time());
     loop {
         tokio::select! {
+            _ = hangup.recv() => {
+                if let Err(problem) = daemon.reload() {
+                    crate::log!(error, "the old configuration stays: {problem}");
+                }
+            }
             _ = term.recv() => hub.feed(Input::Leave),
             _ = interrupt.recv() => hub.feed(Input::Leave),
             _ = exit.recv() => break,
@@ -145,7 +241,7 @@
     Ok(())
 }
 
-async fn accept(hub: Rc<Hub>, listener: TcpListener, pool: usize, makes: Makes) {
+async fn accept(hub: Rc<Hub>, listener: Rc<TcpListener>, pool: usize, makes: Makes) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(connection::start(&hub, pool, stream, makes())),
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -24,12 +24,12 @@
     read: Vec<u8>,
 }
 
-/// Follows a routing table for ever.
+/// Follows a routing table for ever, from this generation on or else from the whole list.
 pub async fn follow(
     hub: Rc<Hub>,
     pool: usize,
     discovery: SocketAddr,
-    mut generation: u64,
+    mut generation: Option<u64>,
     mut wanted: mpsc::Receiver<()>,
 ) {
     let mut line = None;
@@ -39,7 +39,7 @@
             let call = call(&mut line, discovery, generation);
             match timeout(HOLD + LATE, call).await.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
                 Ok(News { generation: new, whole, hosts }) => {
-                    generation = new;
+                    generation = Some(new);
                     hub.feed(Input::Table { pool, whole, hosts });
                 }
                 Err(problem) => {
@@ -52,7 +52,11 @@
     }
 }
 
-async fn call(line: &mut Option<Line>, discovery: SocketAddr, generation: u64) -> Result<News, String> {
+async fn call(
+    line: &mut Option<Line>,
+    discovery: SocketAddr,
+    generation: Option<u64>,
+) -> Result<News, String> {
     let fresh = line.is_none();
     match exchange(line, discovery, generation).await {
         // Danger: a kept connection may have been closed by discovery between two calls.
@@ -64,7 +68,11 @@
     }
 }
 
-async fn exchange(line: &mut Option<Line>, discovery: SocketAddr, generation: u64) -> Result<News, String> {
+async fn exchange(
+    line: &mut Option<Line>,
+    discovery: SocketAddr,
+    generation: Option<u64>,
+) -> Result<News, String> {
     let broken = |e: std::io::Error| format!("discovery: {e}");
     if line.is_none() {
         let stream = TcpStream::connect(discovery).await.map_err(broken)?;
@@ -72,7 +80,8 @@
         *line = Some(Line { stream, read: Vec::new() });
     }
     let Some(open) = line.as_mut() else { return Err("no connection".to_owned()) };
-    let request = http::call(&discovery.to_string(), Some((generation, HOLD.as_millis() as u64)));
+    let from = generation.map(|generation| (generation, HOLD.as_millis() as u64));
+    let request = http::call(&discovery.to_string(), from);
     open.stream.write_all(&request).await.map_err(broken)?;
     let answer = loop {
         let ended = open.stream.read_buf(&mut open.read).await.map_err(broken)? == 0;
--- a/src/types.rs
+++ b/src/types.rs
@@ -139,6 +139,13 @@
     pub fall_window: Micros,
 }
 
+impl Settings {
+    /// The tightest message aim of all classes; 0 where none is known.
+    pub(crate) fn message_aim(&self) -> Micros {
+        self.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0).min().unwrap_or(0)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -31,6 +31,7 @@
             ..Settings::default()
         },
         seed: 7,
+        discovery: None,
         greeting: 10_000_000,
         from_store: false,
         most_held: usize::MAX,
--- a/tests/irc.rs
+++ b/tests/irc.rs
@@ -275,3 +275,29 @@
     });
     address
 }
+
+/// The operator's file is the IRC front's routing table: a host that it lists no more is gone.
+#[test]
+fn sighup_takes_in_another_operators_file_or_keeps_the_old_one() {
+    let (old, new) = (Server::start(Manner::Welcome), Server::start(Manner::Welcome));
+    let daemon = front(&[&old], "");
+    let mut standing = Client::register(&daemon.irc, "olga");
+    standing.expect("001 olga");
+    let file = irc_config(&[&new], "").replace("irc-0", "irc-1");
+    daemon.reload("irc.json", &file.replace("\"hosts\"", "\"hots\""));
+    let line = daemon.log_line("the old configuration stays");
+    assert!(line.contains("hots: no such key is known"), "{line}");
+    daemon.reload("irc.json", &file.replace("\"node\": \"n1\"", "\"node\": \"n2\""));
+    daemon.log_line("the old configuration stays: store: only its peers");
+    standing.say("PRIVMSG #a :still");
+    standing.expect("PRIVMSG #a :still");
+
+    daemon.reload("irc.json", &file.replace("front.test", "anew.test"));
+    daemon.log_line("as configured anew");
+    assert!(standing.rest().contains(" 010 olga "), "its host is listed no more");
+    let mut client = Client::connect(&daemon.irc);
+    client.say("PING 1\r\nNICK pia\r\nUSER u 0 * :A tool");
+    client.expect(":anew.test PONG anew.test");
+    client.expect("001 pia");
+    assert!(new.has("NICK pia") && !old.has("NICK pia"));
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -81,15 +81,18 @@
     format!(r#"{{"generation": {generation}, "reset": {whole}, "instances": [{}]}}"#, entries.join(","))
 }
 
-fn daemon(discovery: SocketAddr, known: &str) -> Daemon {
-    let config = format!(
+fn config(discovery: SocketAddr, known: &str) -> String {
+    format!(
         r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "5", "known": {known},
             "settings": {{"discovery": "on_request", "zones": ["a"],
               "classes": [{{"name": "chat", "deadline": 3000, "repeat": "repeatable"}}],
               "invariants": {{"must-ask-in": 2000}},
               "limits": {{"connect-timeout": 2000, "try-limit": 6, "cancel": true, "retry-after": true}}}}}}"#
-    );
-    Daemon::start(&irc_config(&[], ""), Some(&config))
+    )
+}
+
+fn daemon(discovery: SocketAddr, known: &str) -> Daemon {
+    Daemon::start(&irc_config(&[], ""), Some(&config(discovery, known)))
 }
 
 fn open(daemon: &Daemon) -> Client {
@@ -212,3 +215,46 @@
     // SIGKILL comes 3.7 s after; all here is moved within two.
     assert!(since.elapsed() >= Duration::from_secs(1), "gone while connections still come");
 }
+
+/// Seen on the bench: with no handler SIGHUP ended the process, and every connection with it.
+#[test]
+fn sighup_moves_the_watch_and_keeps_what_stands_and_a_faulty_file_changes_nothing() {
+    let ((old, _), (new, _)) = (host("UP old", false), host("UP new", false));
+    let known = list(7, true, &[entry("s-00000001", old, "ready")]);
+    let ((first, first_calls), (second, calls)) = (
+        discovery(Vec::new()),
+        discovery(vec![(
+            200,
+            list(1, true, &[entry("s-00000001", old, "draining"), entry("s-00000002", new, "ready")]),
+        )]),
+    );
+    let mut daemon = daemon(first, &known);
+    let mut standing = open(&daemon);
+    assert_eq!(standing.line(), "UP old");
+    until("the first watch", || first_calls.lock().unwrap().len() == 1);
+
+    daemon.reload("config.json", &config(second, &known).replace("3000", r#""soon""#));
+    let line = daemon.log_line("the old configuration stays");
+    assert!(line.contains("settings.classes[0].deadline: "), "{line}");
+    assert!(calls.lock().unwrap().is_empty());
+
+    // Several in a row, as a hasty operator sends them.
+    for _ in 0..3 {
+        daemon.reload("config.json", &config(second, &known));
+    }
+    // The generation of another discovery says nothing: the whole list is asked for, then changes of it.
+    until("the new watch", || calls.lock().unwrap().len() == 2);
+    let calls = calls.lock().unwrap().clone();
+    assert!(calls[0].1.starts_with("GET /v1/servers HTTP"), "{}", calls[0].1);
+    assert!(calls[1].1.contains("?from=1&"), "{}", calls[1].1);
+    assert_eq!(open(&daemon).line(), "UP new");
+    standing.say("M 1");
+    assert_eq!(standing.line(), "M 1");
+
+    daemon.signal("-TERM");
+    daemon.log_line("leaving");
+    daemon.reload("config.json", &config(first, &known));
+    daemon.log_line("as configured anew");
+    assert_eq!(standing.rest(), "MOVE\r\n");
+    assert!(daemon.exited());
+}
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -4,6 +4,7 @@
 
 use desk::{ask, Desk, HOSTS};
 use sagemount::routing::*;
+use sagemount::{Class, Repeat};
 
 /// Seen on the bench: hosts tell a message's time by the same word as a load. Taken for a load it made the
 /// slowest host look empty (a calm day kept 0.68 of the simulator's result, 0.99 since).
@@ -221,3 +222,26 @@
         }
     }
 }
+
+/// A reload: what stands and what is out goes on, classes keep their numbers whatever their order in the
+/// file, and the watch goes to the new address.
+#[test]
+fn another_configuration_keeps_what_is_out_and_moves_the_watch() {
+    let mut desk = Desk::new();
+    let (standing, (placing, host)) = (desk.standing(), desk.written());
+    let mut setup = desk::setup();
+    let first = Class { worth: 9.0, setup_aim: 1, message_aim: 7, repeat: Repeat::Unsafe };
+    setup.settings.classes.insert(0, first);
+    setup.classes.insert(0, "alerts".to_owned());
+    setup.discovery = Some("127.0.0.1:9".parse().expect("an address"));
+    let effects = desk.put(Input::Configure { pools: vec![setup.clone()], peers: Vec::new() });
+    let discovery = setup.discovery.expect("set above");
+    assert_eq!(effects, [Effect::WatchAt { pool: 0, discovery }]);
+    let effects = desk.put(Input::Configure { pools: vec![setup], peers: Vec::new() });
+    assert_eq!(effects, [], "the same address needs no new watch");
+    // Were it taken for the class that came first, which may not be repeated, it would fail here.
+    let effects = desk.put(Input::LegEnded { auth: placing, leg: 0, end: LegEnd::Broken });
+    assert!(matches!(effects[..], [Effect::OpenLeg { leg: 1, .. }]), "{effects:?}");
+    assert_eq!(desk.drain(host), [], "it stands or goes elsewhere already");
+    assert_eq!(desk.put(Input::Heard { auth: standing }), []);
+}
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -184,6 +184,13 @@
         }
     }
 
+    /// Replaces a configuration file, `irc.json` or `config.json`, and has it read again.
+    pub fn reload(&self, file: &str, text: &str) {
+        std::fs::write(self.folder.join("next"), text).expect("written");
+        std::fs::rename(self.folder.join("next"), self.folder.join(file)).expect("replaced");
+        self.signal("-HUP");
+    }
+
     pub fn drain(&self, host: &str) {
         self.command(&["drain", host]);
     }
