Take only sound first lines, and budget descriptors so that bad clients cost nobody

Lines at fault: PLATFORM_GREETING of 60 s kept the silent; run() in transport/connection.rs held each answered connection for 700 ms; accept() had no bound; greeting() in protocol/platform.rs let 'd=soon', unknown classes and a second command through, and nothing knew of open ids.

Now: limits become a budget, the reducer drops the oldest that has no leg, first lines are taken whole or not at all, a class, tenant or id that cannot be right fails at once, an answered connection that is quiet for 100 ms is closed, accept backs off, and a leg without a socket is not held against its host.

A line longer than 4 KiB on a standing connection of the platform ends it now, where it was passed on before.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -8,11 +8,12 @@
 use crate::protocol::irc;
 use crate::protocol::json::{self, Fault, Place};
 use crate::routing::store::LONGEST_NODE;
-use crate::routing::{stored_host, IssuerHost, Lifecycle, PoolSetup};
+use crate::routing::{stored_host, Budget, IssuerHost, Lifecycle, PoolSetup};
 use crate::{Class, Micros, Repeat, Scope, Settings, Tenant, ZoneId};
 
-/// The acquirer side of the platform has so long for its first line.
-const PLATFORM_GREETING: Micros = 60_000_000;
+/// The acquirer side of the platform has so long for its first line, which it sends at once. One that says
+/// nothing is to be closed within 3 s, the wait to be accepted included.
+const PLATFORM_GREETING: Micros = 1_500_000;
 /// The platform's clients send a line every 2 s and have one back at once: after this long without, a
 /// standing connection's host is taken to be lost. 7 s are allowed.
 const PLATFORM_SILENCE: Micros = 5_000_000;
@@ -26,6 +27,64 @@
     pub irc: Option<Irc>,
     /// The store, where an operator's file sets one up.
     pub store: Option<StoreConfig>,
+    /// What both fronts together may hold.
+    pub budget: Budget,
+}
+
+/// What this machine gives the process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Descriptors.
+    pub sockets: usize,
+    /// Megabytes of memory.
+    pub memory_mb: usize,
+}
+
+impl Default for Limits {
+    /// What the system gives, and a modest memory, where nobody says more.
+    fn default() -> Limits {
+        let files = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+        Limits { sockets: files.map_or(1 << 20, |files| files.min(1 << 20) as usize), memory_mb: 256 }
+    }
+}
+
+impl Limits {
+    /// Descriptors that are not connections: listeners, discovery, the log and what the runtime needs.
+    const OWN: usize = 24;
+    /// Bytes of a buffer: a few lines in each direction of a connection.
+    const LEAST_BUFFER: usize = 8 << 10;
+    const MOST_BUFFER: usize = 16 << 10;
+
+    fn read(place: &Place<'_>) -> Result<Limits, Fault> {
+        let default = Limits::default();
+        let limits = Limits {
+            sockets: place.at("sockets").number(default.sockets as f64)? as usize,
+            memory_mb: place.at("memory_mb").number(default.memory_mb as f64)? as usize,
+        };
+        if limits.sockets < 2 * Limits::OWN {
+            return Err(place.at("sockets").fault("at least 48 descriptors are wanted"));
+        }
+        if limits.memory_mb < 8 {
+            return Err(place.at("memory_mb").fault("at least 8 megabytes are wanted"));
+        }
+        Ok(limits)
+    }
+
+    fn tighter(self, other: Limits) -> Limits {
+        let (sockets, memory_mb) = (self.sockets.min(other.sockets), self.memory_mb.min(other.memory_mb));
+        Limits { sockets, memory_mb }
+    }
+
+    /// A quarter of the descriptors is for connections without a leg, the rest for those with one, who take
+    /// two each. Half of the memory is for the buffers of all of them: one each, two with a leg.
+    pub fn budget(self) -> Budget {
+        let (free, memory) = (self.sockets - Limits::OWN, (self.memory_mb << 20) / 2);
+        let most = memory / Limits::LEAST_BUFFER;
+        let waiting = (free / 4).min(most / 4);
+        let held = (free - waiting).min(most - waiting) / 2;
+        let buffer = memory / (waiting + 2 * held);
+        Budget { waiting, held, buffer: buffer.clamp(Limits::LEAST_BUFFER, Limits::MOST_BUFFER) }
+    }
 }
 
 /// What the store is told.
@@ -52,6 +111,8 @@
     pub known: News,
     /// The platform's pool.
     pub pool: PoolSetup,
+    /// What the platform gives the process.
+    pub limits: Limits,
 }
 
 /// Where the configuration stands; it is read again on SIGHUP.
@@ -82,8 +143,13 @@
         parse(&read_file(path)?).map(Some).map_err(|fault| format!("{}: {fault}", path.display()))
     }
     let operator = file(irc, parse_operator)?;
+    let operator_limits = operator.as_ref().map(|operator| operator.limits);
     let (irc, store) = operator.map_or((None, None), |operator| (Some(operator.irc), operator.store));
-    let config = Config { platform: file(platform, parse_platform)?, irc, store };
+    let platform = file(platform, parse_platform)?;
+    // Both fronts share one process: the tighter limits hold.
+    let limits = [platform.as_ref().map(|p| p.limits), operator_limits].into_iter().flatten();
+    let budget = limits.reduce(Limits::tighter).unwrap_or_default().budget();
+    let config = Config { platform, irc, store, budget };
     if config.platform.is_none() && config.irc.is_none() {
         return Err("no front to serve: give --config FILE, set NODE_CONFIG or give --irc FILE".to_owned());
     }
@@ -103,6 +169,7 @@
         listen,
         known: http::news(&known)?,
         pool,
+        limits: Limits::read(&root.at("limits"))?,
     })
 }
 
@@ -135,6 +202,8 @@
     pub irc: Irc,
     /// The store.
     pub store: Option<StoreConfig>,
+    /// What the process may use.
+    pub limits: Limits,
 }
 
 /// Reads and checks the text of an operator's file.
@@ -163,7 +232,8 @@
     let class = root.at("class");
     class.only(&["name", "worth", "setup_aim_ms", "give_up_ms"])?;
     let limits = root.at("limits");
-    limits.only(&["legs", "connect_ms", "retry_after_ms", "warm_up_ms", "cold_share", "connections"])?;
+    let known = ["legs", "connect_ms", "retry_after_ms", "warm_up_ms", "cold_share", "connections"];
+    limits.only(&[&known[..], &["sockets", "memory_mb"]].concat())?;
     let name = class.at("name").text()?.unwrap_or_else(|| "irc".to_owned());
     let tenant = root.at("tenant").text()?;
     let give_up = class.at("give_up_ms").millis(10_000_000)?;
@@ -216,7 +286,7 @@
             longest_wait: give_up,
         },
     };
-    Ok(Operator { irc, store: store(&root.at("store"))? })
+    Ok(Operator { irc, store: store(&root.at("store"))?, limits: Limits::read(&limits)? })
 }
 
 fn store(place: &Place<'_>) -> Result<Option<StoreConfig>, Fault> {
--- a/src/protocol/irc.rs
+++ b/src/protocol/irc.rs
@@ -18,6 +18,8 @@
 pub const LONGEST_TAGS: usize = 8191;
 /// Lines that may come before registration is complete.
 const MOST_LINES: u32 = 64;
+/// Bytes that may come before that, the passed over ones included.
+const MOST_BYTES: usize = 64 << 10;
 /// Bytes of a host's notices before its welcome that are kept for the acquirer side.
 const MOST_NOTICES: usize = 4096;
 
@@ -84,6 +86,8 @@
     Registering,
     Placing,
     Standing,
+    /// Nothing that comes is read any more.
+    Over,
 }
 
 /// What the acquirer side has said of itself.
@@ -104,6 +108,7 @@
     phase: Phase,
     registration: Registration,
     lines: u32,
+    bytes: usize,
     acquirer: Lines,
     /// The rest of a line that was too long is passed over up to its end.
     skipping: bool,
@@ -181,6 +186,7 @@
                 Some(message) => {
                     let command = message.command.to_ascii_uppercase();
                     if command == b"QUIT" {
+                        self.phase = Phase::Over;
                         steps.push(Step::ToAcquirer(self.error("Quit")));
                         return steps.push(Step::Close);
                     }
@@ -273,7 +279,9 @@
 
     /// Danger: one that never completes its registration could keep the front busy for nothing.
     fn flood(&mut self, steps: &mut Vec<Step>) {
-        if self.lines > MOST_LINES && !matches!(steps.last(), Some(Step::Close)) {
+        if self.lines > MOST_LINES || self.bytes > MOST_BYTES {
+            self.phase = Phase::Over;
+            self.acquirer.take();
             steps.push(Step::ToAcquirer(self.error("Excess Flood")));
             steps.push(Step::Close);
         }
@@ -342,6 +350,12 @@
 
 impl Front for Connection {
     fn acquirer_sent(&mut self, bytes: &[u8], steps: &mut Vec<Step>) {
+        if self.phase == Phase::Over {
+            return;
+        }
+        if self.phase == Phase::Registering {
+            self.bytes += bytes.len();
+        }
         self.acquirer.push(bytes);
         self.register(steps);
         if self.phase == Phase::Standing {
--- a/src/protocol/lines.rs
+++ b/src/protocol/lines.rs
@@ -78,6 +78,27 @@
     }
 }
 
+/// How long the line is that a stream is at, where its bytes are passed on as they come.
+#[derive(Default, Debug)]
+pub struct Measure {
+    length: usize,
+}
+
+impl Measure {
+    /// More bytes came: whether no line of theirs is longer than this, its end included.
+    pub fn fits(&mut self, bytes: &[u8], most: usize) -> bool {
+        let mut fits = true;
+        for piece in bytes.split_inclusive(|&b| b == b'\n') {
+            self.length += piece.len();
+            fits &= self.length <= most;
+            if piece.ends_with(b"\n") {
+                self.length = 0;
+            }
+        }
+        fits
+    }
+}
+
 /// Passes lines on whole, so that something may be put between two of them; only what is too long to hold
 /// goes on in pieces.
 #[derive(Default, Debug)]
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -4,10 +4,10 @@
 use winnow::ascii::{dec_uint, float, hex_uint};
 use winnow::combinator::{alt, opt, preceded, separated, separated_pair};
 use winnow::error::ContextError;
-use winnow::token::{rest, take_till, take_while};
+use winnow::token::{rest, take_while};
 use winnow::{ModalResult, Parser};
 
-use super::lines::{Cut, Lines, Relay};
+use super::lines::{Cut, Lines, Measure, Relay};
 use super::{Front, Step, LONGEST_LINE};
 use crate::routing::{Answer, Authorisation, LegEnd};
 use crate::Micros;
@@ -33,48 +33,70 @@
     Other,
 }
 
-fn word<'a>(input: &mut &'a [u8]) -> ModalResult<&'a [u8]> {
-    take_while(1.., |b: u8| b.is_ascii_graphic()).parse_next(input)
+/// The longest wait that is believed, in milliseconds: a day.
+const LONGEST_WAIT: f64 = 86_400_000.0;
+/// The longest id or key.
+const LONGEST_NAME: usize = 64;
+/// The front may ask so often on one connection whether this balancer is there.
+const MOST_PINGS: u32 = 8;
+
+/// An id or a key. Danger: where one is left out, the list after it must not pass for it.
+fn name<'a>(input: &mut &'a [u8]) -> ModalResult<&'a [u8]> {
+    let sound = |b: u8| b.is_ascii_graphic() && b != b'=' && b != b',';
+    take_while(1..=LONGEST_NAME, sound).parse_next(input)
 }
 
 fn pair<'a>(input: &mut &'a [u8]) -> ModalResult<(&'a [u8], &'a [u8])> {
-    let name = take_while(1.., |b: u8| b.is_ascii_graphic() && b != b'=' && b != b',');
-    separated_pair(name, b'=', take_till(0.., b',')).parse_next(input)
+    let value = take_while(0.., |b: u8| b.is_ascii_graphic() && b != b',');
+    separated_pair(name, b'=', value).parse_next(input)
 }
 
-/// Reads a first line, without its end.
+/// The id of `OPEN`, how much of the line is left from its list on, and the list.
+type Open<'a> = (&'a [u8], usize, Vec<(&'a [u8], &'a [u8])>);
+
+fn open<'a>(input: &mut &'a [u8]) -> ModalResult<Open<'a>> {
+    let (_, id, _, _, _) = (b"OPEN ", name, b' ', name, b' ').parse_next(input)?;
+    let list = input.len();
+    Ok((id, list, separated(1.., pair, b',').parse_next(input)?))
+}
+
+/// Reads a first line, without its end. Danger: what is not sound in all of its parts must reach no host.
 pub fn greeting(line: &[u8]) -> Option<Greeting> {
-    let open = |input: &mut &[u8]| -> ModalResult<Greeting> {
-        (b"OPEN ", word, b' ', word, b' ').void().parse_next(input)?;
-        let list = *input;
-        let pairs: Vec<(&[u8], &[u8])> = separated(1.., pair, b',').parse_next(input)?;
-        let mut ask = Authorisation::default();
-        // Danger: only the figure of `d` may change on its way; the rest has to stay as it came.
-        let (mut before, mut after) = (line.to_vec(), None);
-        let mut at = line.len() - list.len();
-        for (name, value) in pairs {
-            let text = || String::from_utf8_lossy(value).into_owned();
-            let number = || float::<_, f64, ContextError>.parse(value).ok().filter(|n| n.is_finite());
-            match name {
-                b"c" => ask.class = text(),
-                b"t" => ask.tenant = Some(text()).filter(|name| name != "0"),
-                b"g" => ask.group = hex_uint::<_, u64, ContextError>.parse(value).ok(),
-                b"h" => ask.load = number(),
-                b"at" => ask.standing_at = Some(text()),
-                b"d" => {
-                    let from = at + name.len() + 1;
-                    before = line[..from].to_vec();
-                    after = Some(line[from + value.len()..].to_vec());
-                    let most = 86_400_000.0;
-                    ask.wait = number().map(|ms| (ms.clamp(0.0, most) * 1000.0) as Micros);
-                }
-                _ => {}
+    let (id, list, pairs) = match alt((b"PING".value(None), open.map(Some))).parse(line).ok()? {
+        None => return Some(Greeting::Ping),
+        Some(open) => open,
+    };
+    let mut at = line.len() - list;
+    let text = |value| String::from_utf8_lossy(value).into_owned();
+    let number =
+        |value| float::<_, f64, ContextError>.parse(value).ok().filter(|n| n.is_finite() && *n >= 0.0);
+    let mut ask = Authorisation { id: Some(text(id)), ..Authorisation::default() };
+    // Danger: only the figure of `d` may change on its way; the rest has to stay as it came.
+    let (mut before, mut after) = (line.to_vec(), None);
+    for (n, &(name, value)) in pairs.iter().enumerate() {
+        if pairs[..n].iter().any(|(earlier, _)| *earlier == name) {
+            return None;
+        }
+        match name {
+            b"c" => ask.class = text(value),
+            b"t" => ask.tenant = Some(text(value)).filter(|name| name != "0"),
+            b"g" => ask.group = Some(hex_uint::<_, u64, ContextError>.parse(value).ok()?),
+            b"h" => ask.load = Some(number(value)?),
+            b"at" => ask.standing_at = Some(text(value)).filter(|name| !name.is_empty()),
+            b"d" => {
+                let from = at + name.len() + 1;
+                before = line[..from].to_vec();
+                after = Some(line[from + value.len()..].to_vec());
+                let ms = number(value).filter(|ms| *ms <= LONGEST_WAIT)?;
+                ask.wait = Some((ms * 1000.0) as Micros);
             }
-            at += name.len() + value.len() + 2;
+            _ => {}
         }
-        Ok(Greeting::Open { ask, before, after })
-    };
-    alt((b"PING".map(|_| Greeting::Ping), open)).parse(line).ok()
+        at += name.len() + value.len() + 2;
+    }
+    // Only one that stood already needs not say how long it waits.
+    let waits = ask.wait.is_some() || ask.standing_at.is_some();
+    (waits && !ask.class.is_empty()).then_some(Greeting::Open { ask, before, after })
 }
 
 /// Reads a line of an issuer host.
@@ -98,12 +120,15 @@
     Greeting,
     Placing,
     Standing,
+    /// Nothing that comes is read any more.
+    Over,
 }
 
 /// One connection.
 #[derive(Debug, Default)]
 pub struct Connection {
     phase: Phase,
+    pings: u32,
     acquirer: Lines,
     issuer: Lines,
     /// The first line before and after the figure of `d`.
@@ -111,6 +136,8 @@
     /// What the issuer host's last word said of the leg's end.
     ended: Option<LegEnd>,
     relay: Relay,
+    /// The line that the acquirer side is at.
+    line: Measure,
 }
 
 impl Connection {
@@ -119,21 +146,32 @@
             let line = match self.acquirer.next(LONGEST_LINE) {
                 Cut::Line(line) => line,
                 Cut::None => return,
-                Cut::TooLong => Vec::new(),
+                Cut::TooLong => return self.wrong(steps),
             };
             match greeting(&line) {
-                Some(Greeting::Ping) => steps.push(Step::ToAcquirer(b"PONG\r\n".to_vec())),
-                Some(Greeting::Open { ask, before, after }) => {
+                Some(Greeting::Ping) if self.pings < MOST_PINGS => {
+                    self.pings += 1;
+                    steps.push(Step::ToAcquirer(b"PONG\r\n".to_vec()));
+                }
+                // The acquirer side waits for its answer: what comes with its question is none of it.
+                Some(Greeting::Open { ask, before, after }) if self.acquirer.is_empty() => {
                     self.phase = Phase::Placing;
                     self.request = (before, after);
                     steps.push(Step::Authorise(ask));
                 }
-                None => {
-                    steps.push(Step::ToAcquirer(b"ERR\r\n".to_vec()));
-                    return steps.push(Step::Close);
-                }
+                _ => return self.wrong(steps),
             }
         }
+        if !self.acquirer.is_empty() {
+            self.wrong(steps);
+        }
+    }
+
+    /// The acquirer side broke its protocol: it is told, and nothing more of it is read.
+    fn wrong(&mut self, steps: &mut Vec<Step>) {
+        self.phase = Phase::Over;
+        self.acquirer.take();
+        steps.extend([Step::ToAcquirer(b"ERR\r\n".to_vec()), Step::Close]);
     }
 
     /// The first line of a leg decides it.
@@ -148,10 +186,6 @@
                 self.phase = Phase::Standing;
                 steps.push(Step::ToAcquirer([&line[..], b"\r\n"].concat()));
                 steps.push(Step::Up);
-                let early = self.acquirer.take();
-                if !early.is_empty() {
-                    steps.push(Step::ToIssuer(early));
-                }
             }
             Word::Busy => steps.push(Step::LegEnded(LegEnd::TurnedAway)),
             _ => steps.push(Step::LegEnded(LegEnd::Error)),
@@ -177,10 +211,15 @@
 
 impl Front for Connection {
     fn acquirer_sent(&mut self, bytes: &[u8], steps: &mut Vec<Step>) {
-        if self.phase == Phase::Standing {
-            return steps.push(Step::ToIssuer(bytes.to_vec()));
+        match self.phase {
+            Phase::Over => return,
+            Phase::Standing if self.line.fits(bytes, LONGEST_LINE) => {
+                return steps.push(Step::ToIssuer(bytes.to_vec()));
+            }
+            // Danger: a line without end would keep this balancer and a host busy for ever.
+            Phase::Standing => return self.wrong(steps),
+            _ => self.acquirer.push(bytes),
         }
-        self.acquirer.push(bytes);
         self.greet(steps);
     }
 
@@ -229,10 +268,6 @@
     }
 
     fn waiting(&self) -> usize {
-        if self.phase == Phase::Standing {
-            0
-        } else {
-            self.acquirer.len()
-        }
+        self.acquirer.len()
     }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -36,6 +36,10 @@
 const SLOW_FACTOR: f64 = 2.5;
 const SLOW_GAP: Micros = 1_300_000;
 
+/// Where connections without a leg are as many as they may be, one that has been there so long makes room.
+/// An acquirer side that means to ask does so at once; its line has to arrive.
+const ROOM_AFTER: Micros = 100_000;
+
 /// Between two digests that a node sends.
 const GOSSIP_GAP: Micros = 500_000;
 
@@ -49,6 +53,8 @@
 /// What the acquirer side asks for, in no wire's terms.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Authorisation {
+    /// What the acquirer side calls it, where it does: no two that are open may be called alike.
+    pub id: Option<String>,
     /// Name of its class.
     pub class: String,
     /// Name of its tenant.
@@ -79,6 +85,8 @@
     NoConnection,
     /// It broke or ended without a word after that.
     Broken,
+    /// This machine had no socket left for it: the host had no part in that.
+    NoSocket,
     /// The host's own verdict was passed on to the acquirer side: nothing more is to be done.
     Verdict,
 }
@@ -105,6 +113,8 @@
     Authorise { auth: AuthId, ask: Authorisation },
     /// It left.
     Left { auth: AuthId },
+    /// All of its sockets are closed.
+    Closed { auth: AuthId },
     /// All of the leg's request is written.
     LegWritten { auth: AuthId, leg: u32 },
     /// The issuer host accepted: lines go both ways from here on.
@@ -125,7 +135,7 @@
     /// Another node's store, or an operator's command, sent this.
     Gossip { from: SocketAddr, gossip: Gossip },
     /// The configuration was read again: its pools in the old order, and the other stores.
-    Configure { pools: Vec<PoolSetup>, peers: Vec<SocketAddr> },
+    Configure { pools: Vec<PoolSetup>, peers: Vec<SocketAddr>, budget: Budget },
     /// This balancer is to leave.
     Leave,
     /// Time has come to something.
@@ -141,6 +151,10 @@
     CloseLeg { auth: AuthId },
     /// Give this answer, then end both sides.
     Answer { auth: AuthId, answer: Answer },
+    /// Close all sockets of an authorisation at once.
+    Drop { auth: AuthId },
+    /// The fronts may accept connections, or have to leave them waiting.
+    Doors { open: bool },
     /// Watch a routing table, telling what was missed first.
     Watch { pool: PoolId },
     /// Let the old watch go and watch at this address, which tells the whole list first.
@@ -166,6 +180,17 @@
     pub kept: Vec<(String, Entry)>,
 }
 
+/// What all fronts together may hold, as this machine's limits allow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    /// Connections that have no leg: they have not asked yet, or are ended and not yet closed.
+    pub waiting: usize,
+    /// Authorisations with a leg, out or standing.
+    pub held: usize,
+    /// Bytes that wait for a side that does not read, before no more is taken from the other.
+    pub buffer: usize,
+}
+
 /// What a pool is set up with.
 #[derive(Clone, Debug)]
 pub struct PoolSetup {
@@ -228,7 +253,9 @@
     table: RoutingTable,
     /// The hosts as discovery or the operator's file lists them, before the store has its say.
     listed: BTreeMap<String, IssuerHost>,
+    /// Authorisations past their greeting, and the ids by which their acquirer sides call them.
     held: usize,
+    ids: BTreeSet<String>,
     wake: Option<Time>,
     /// Sum and number of the loads told so far.
     loads: (f64, f64),
@@ -259,6 +286,7 @@
 
 struct Auth {
     pool: PoolId,
+    id: Option<String>,
     phase: Phase,
     legs: u32,
     leg: Option<Leg>,
@@ -276,6 +304,11 @@
     pools: Vec<Pool>,
     auths: BTreeMap<AuthId, Auth>,
     timers: BTreeSet<(Time, AuthId)>,
+    budget: Budget,
+    /// Connections without a leg, and since when.
+    waiting: BTreeMap<AuthId, Time>,
+    /// The fronts accept no connections until there is room, which is looked for then.
+    shut: Option<Time>,
     /// Authorisations with a leg at a host.
     at: BTreeMap<(PoolId, ServerId), BTreeSet<AuthId>>,
     /// From when it may go, and when it goes at the latest, once it leaves.
@@ -296,7 +329,7 @@
 
 impl State {
     /// A balancer that has been told its pools and nothing else.
-    pub fn new(pools: Vec<PoolSetup>, store: StoreSetup, now: Time) -> State {
+    pub fn new(pools: Vec<PoolSetup>, store: StoreSetup, budget: Budget, now: Time) -> State {
         let mut map = Store::new(&store.node);
         for (key, entry) in store.kept {
             map.take(&key, entry);
@@ -306,6 +339,7 @@
             table: RoutingTable::default(),
             listed: BTreeMap::new(),
             held: 0,
+            ids: BTreeSet::new(),
             wake: None,
             loads: (0.0, 0.0),
             slow: BTreeMap::new(),
@@ -315,6 +349,9 @@
             pools: pools.into_iter().map(pool).collect(),
             auths: BTreeMap::new(),
             timers: BTreeSet::new(),
+            budget,
+            waiting: BTreeMap::new(),
+            shut: None,
             at: BTreeMap::new(),
             leaving: None,
             effects: Vec::new(),
@@ -325,12 +362,17 @@
         }
     }
 
+    /// What the fronts may hold now.
+    pub fn budget(&self) -> Budget {
+        self.budget
+    }
+
     /// When [`Input::Tick`] is wanted next.
     pub fn next_due(&self) -> Option<Time> {
         let wakes = self.pools.iter().filter_map(|pool| pool.wake);
         let timers = self.timers.first().map(|&(at, _)| at);
         let leaving = self.leaving.map(|(from, to)| if self.auths.is_empty() { from } else { to });
-        wakes.chain(timers).chain(leaving).chain(self.gossip_at).min()
+        wakes.chain(timers).chain(leaving).chain(self.gossip_at).chain(self.shut).min()
     }
 
     /// What the store holds: for tests.
@@ -343,6 +385,10 @@
             Input::Met { auth, pool } => self.met(now, auth, pool),
             Input::Authorise { auth, ask } => self.authorise(now, auth, ask),
             Input::Left { auth } => self.left(now, auth),
+            Input::Closed { auth } => {
+                self.waiting.remove(&auth);
+                self.make_room(now);
+            }
             Input::LegWritten { auth, leg } => {
                 if let Some(leg) = self.leg(auth, leg) {
                     leg.written = true;
@@ -361,7 +407,7 @@
             Input::Table { pool, whole, hosts } => self.follow(now, pool, whole, hosts),
             Input::TableLost { pool } => self.tell(now, pool, Event::ListFailed),
             Input::Gossip { from, gossip } => self.gossip(now, from, gossip),
-            Input::Configure { pools, peers } => self.configure(now, pools, peers),
+            Input::Configure { pools, peers, budget } => self.configure(now, pools, peers, budget),
             Input::Leave => self.leave(now),
             Input::Tick => self.tick(now),
         }
@@ -384,11 +430,11 @@
     // ---- The acquirer side ----
 
     fn met(&mut self, now: Time, id: AuthId, pool: PoolId) {
-        let Some(entered) = self.pools.get_mut(pool) else { return };
-        entered.held += 1;
+        let Some(entered) = self.pools.get(pool) else { return };
         let greeting = entered.setup.greeting;
         let auth = Auth {
             pool,
+            id: None,
             phase: Phase::Greeting,
             legs: 0,
             leg: None,
@@ -399,6 +445,29 @@
         };
         self.auths.insert(id, auth);
         self.set_due(id, Some(now.plus(greeting)));
+        self.waiting.insert(id, now);
+        self.make_room(now);
+    }
+
+    /// Danger: hundreds that connect and say nothing, or do not go when they are answered, would use up the
+    /// descriptors. The oldest makes room; where all are too fresh to judge, the fronts stop accepting.
+    fn make_room(&mut self, now: Time) {
+        let full = |state: &State| state.waiting.len() >= state.budget.waiting;
+        let mut room_at = None;
+        while let Some((&id, &since)) = self.waiting.iter().min_by_key(|(_, at)| **at).filter(|_| full(self))
+        {
+            if now.since(since) < ROOM_AFTER {
+                room_at = Some(since.plus(ROOM_AFTER));
+                break;
+            }
+            self.forget(now, id);
+            self.waiting.remove(&id);
+            self.effects.push(Effect::Drop { auth: id });
+        }
+        if room_at.is_some() != self.shut.is_some() {
+            self.effects.push(Effect::Doors { open: room_at.is_none() });
+        }
+        self.shut = room_at;
     }
 
     fn authorise(&mut self, now: Time, id: AuthId, ask: Authorisation) {
@@ -407,20 +476,35 @@
         let greeting = self.pools[pool_id].setup.greeting;
         if self.leaving.is_some() {
             // What still arrives at a balancer that leaves is answered, and told to come again.
-            self.forget(id);
+            self.forget(now, id);
             return self.effects.push(Effect::Answer { auth: id, answer: Answer::Refused(LEAVING_WAIT) });
         }
+        let held: usize = self.pools.iter().map(|pool| pool.held).sum();
         let pool = &self.pools[pool_id];
         let limit = self.store.get("limit/connections").filter(|_| pool.setup.from_store);
-        if pool.held > limit.and_then(|text| text.parse().ok()).unwrap_or(pool.setup.most_held) {
+        let limit = limit.and_then(|text| text.parse().ok()).unwrap_or(pool.setup.most_held);
+        if pool.held >= limit || held >= self.budget.held {
             let wait = pool.setup.settings.max_retry_after / 2;
-            self.forget(id);
+            self.forget(now, id);
             return self.effects.push(Effect::Answer { auth: id, answer: Answer::Refused(wait) });
         }
-        let index = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let class = ClassId(index(&pool.setup.classes, &ask.class).unwrap_or(usize::MAX) as u16);
-        let tenant = ask.tenant.as_deref().and_then(|name| index(&pool.setup.tenants, name));
-        let tenant = tenant.map(|i| TenantId(i as u16));
+        let index = |names: &[String], name: &str| names.iter().position(|n| !name.is_empty() && n == name);
+        let (classes, tenants) = (&pool.setup.classes, &pool.setup.tenants);
+        let class = index(classes, &ask.class).map(|n| ClassId(n as u16));
+        let tenant = ask.tenant.as_deref().map(|name| index(tenants, name).map(|n| TenantId(n as u16)));
+        // Danger: what names nothing that is configured is no request; hosts could only turn it away. And
+        // two that pass for one would have their answers mixed up by whoever counts them.
+        let taken = ask.id.as_ref().is_some_and(|id| pool.ids.contains(id));
+        let (Some(class), false) = (class, taken || tenant == Some(None) && !tenants.is_empty()) else {
+            return self.answer(now, id, Answer::Failed);
+        };
+        let tenant = tenant.flatten();
+        self.waiting.remove(&id);
+        self.make_room(now);
+        let pool = &mut self.pools[pool_id];
+        pool.held += 1;
+        pool.ids.extend(ask.id.clone());
+        self.auths.entry(id).and_modify(|auth| auth.id = ask.id);
         let (group, load, request) = (ask.group.map(GroupId), ask.load, RequestId(id.0));
         self.set_due(id, None);
         let Some(name) = ask.standing_at else {
@@ -495,6 +579,7 @@
             LegEnd::Error => Outcome::Error,
             LegEnd::TurnedAway => Outcome::Full,
             LegEnd::NoConnection => Outcome::ConnectFailed,
+            LegEnd::NoSocket => Outcome::NotSent,
             LegEnd::Broken => Outcome::Reset,
         };
         match self.auths.get(&id).map(|a| a.phase) {
@@ -559,7 +644,7 @@
     /// Ends an authorisation whose answer was given or is not owed any more, whatever of it is out.
     fn end(&mut self, now: Time, id: AuthId, outcome: Outcome) {
         let Some((pool, phase)) = self.auths.get(&id).map(|a| (a.pool, a.phase)) else { return };
-        let leg = self.forget(id);
+        let leg = self.forget(now, id);
         let attempt = match (phase, leg) {
             // To the module an adopted connection stands by its attempt 0, however often it was tried.
             (Phase::Adopting(..), _) => Some(0),
@@ -572,11 +657,15 @@
         }
     }
 
-    fn forget(&mut self, id: AuthId) -> Option<Leg> {
+    /// Its sockets stay for a while: it waits to be closed.
+    fn forget(&mut self, now: Time, id: AuthId) -> Option<Leg> {
         let leg = self.drop_leg(id);
         self.set_due(id, None);
         if let Some(auth) = self.auths.remove(&id) {
-            self.pools[auth.pool].held -= 1;
+            self.waiting.insert(id, now);
+            let pool = &mut self.pools[auth.pool];
+            pool.held -= usize::from(auth.phase != Phase::Greeting);
+            auth.id.map(|id| pool.ids.remove(&id));
         }
         leg
     }
@@ -591,7 +680,8 @@
 
     /// Another configuration takes the place of the old at one go. What is out, what stands and what was
     /// learned of hosts stays, and so does the routing table, until the new discovery tells another.
-    fn configure(&mut self, now: Time, setups: Vec<PoolSetup>, peers: Vec<SocketAddr>) {
+    fn configure(&mut self, now: Time, setups: Vec<PoolSetup>, peers: Vec<SocketAddr>, budget: Budget) {
+        self.budget = budget;
         for (id, setup) in setups.into_iter().enumerate().take(self.pools.len()) {
             let pool = &mut self.pools[id];
             let setup = setup.after(&pool.setup);
@@ -731,7 +821,7 @@
             let Some(auth) = self.auths.get(&id) else { continue };
             match (auth.phase, auth.leg) {
                 (Phase::Greeting, _) => {
-                    self.forget(id);
+                    self.forget(now, id);
                     self.effects.push(Effect::Answer { auth: id, answer: Answer::Late });
                 }
                 (Phase::Placing, leg) => {
@@ -744,6 +834,9 @@
                 (Phase::Standing, _) => self.overdue(now, id),
             }
         }
+        if self.shut.is_some_and(|at| at <= now) {
+            self.make_room(now);
+        }
         if self.gossip_at.is_some_and(|at| at <= now) {
             self.keep_gossiping(now);
         }
@@ -844,9 +937,9 @@
                     self.open_leg(now, AuthId(request.0), server, timeout)
                 }
                 Action::Refuse { request, retry_after } => {
-                    self.answer(AuthId(request.0), Answer::Refused(retry_after))
+                    self.answer(now, AuthId(request.0), Answer::Refused(retry_after))
                 }
-                Action::Fail { request } => self.answer(AuthId(request.0), Answer::Failed),
+                Action::Fail { request } => self.answer(now, AuthId(request.0), Answer::Failed),
                 Action::Cancel { request, attempt } => {
                     let id = AuthId(request.0);
                     if self.leg(id, attempt).is_some() {
@@ -873,10 +966,10 @@
         }
     }
 
-    fn answer(&mut self, id: AuthId, answer: Answer) {
+    fn answer(&mut self, now: Time, id: AuthId, answer: Answer) {
         // Danger: an authorisation that has ended in the meantime must not be answered a second time.
         if self.auths.contains_key(&id) {
-            self.forget(id);
+            self.forget(now, id);
             self.effects.push(Effect::Answer { auth: id, answer });
         }
     }
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -13,15 +13,18 @@
 use super::hub::{Hub, Order};
 use crate::protocol::pcap::{Close, Tape, Way};
 use crate::protocol::{Front, Step};
-use crate::routing::{AuthId, Input, LegEnd};
+use crate::routing::{Answer, AuthId, Input, LegEnd};
 use crate::Micros;
 
-/// Bytes held for a side that does not read; more are not taken from the other.
-const HELD: usize = 16 << 10;
 /// Bytes read at once.
 const PIECE: usize = 8 << 10;
-/// How long a side that was ended is waited for, so that the last lines reach it.
+/// How long a side that was ended is waited for, so that the last lines reach it...
 const LINGER: Duration = Duration::from_millis(700);
+/// ...or until it has had them all and been quiet so long: its descriptor is wanted for others.
+const QUIET: Duration = Duration::from_millis(100);
+/// Bytes taken, for nobody, from an acquirer side that has been answered. Danger: closed over unread bytes
+/// the connection is reset, which may destroy the answer; but one that sends on for ever must not be read.
+const PASSED_OVER: usize = 128 << 10;
 
 /// One end: a socket and what is still to be written to it.
 struct End {
@@ -92,6 +95,14 @@
     }
 }
 
+/// Whether it was this machine that had nothing left to connect with: descriptors, memory or ports.
+fn own_fault(error: &io::Error) -> bool {
+    use io::ErrorKind::{AddrNotAvailable, OutOfMemory};
+    let (too_many, table_full) = (24, 23);
+    matches!(error.kind(), AddrNotAvailable | OutOfMemory)
+        || error.raw_os_error().is_some_and(|code| code == too_many || code == table_full)
+}
+
 type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
 
 async fn connected(connecting: Option<&mut Connecting>) -> io::Result<TcpStream> {
@@ -122,8 +133,13 @@
     standing: bool,
     /// The reducer holds nothing of it any more: what is left to write has so long.
     over: Option<Instant>,
+    /// Since then its acquirer side has sent nothing, and how much it has sent for nobody.
+    quiet: Instant,
+    passed_over: usize,
     /// What the issuer host still says is for nobody.
     discard: bool,
+    /// Bytes held for a side that does not read; more are not taken from the other.
+    buffer: usize,
     /// It is recorded.
     tape: Option<Tape>,
 }
@@ -150,7 +166,10 @@
         written: false,
         standing: false,
         over: None,
+        quiet: Instant::now(),
+        passed_over: 0,
         discard: false,
+        buffer: hub.buffer(),
         tape,
     };
     connection.acquirer.sent = connection.tape.is_some().then(Vec::new);
@@ -169,11 +188,20 @@
             self.flush();
             let leg_over = self.leg.as_ref().is_none_or(|leg| leg.finished);
             let closed = self.acquirer.finished && self.acquirer.ended && leg_over;
-            if self.over.is_some_and(|until| closed || Instant::now() >= until) {
+            let end = self.over.map(|over| {
+                let quiet = self.acquirer.finished && leg_over;
+                if quiet {
+                    over.min(self.quiet + QUIET)
+                } else {
+                    over
+                }
+            });
+            if end.is_some_and(|end| closed || Instant::now() >= end) {
                 return;
             }
             let leg_held = self.leg.as_ref().map_or(0, |leg| leg.out.len()) + self.front.waiting();
-            let (from_acquirer, from_leg) = (leg_held < HELD, self.acquirer.out.len() < HELD);
+            let from_acquirer = leg_held < self.buffer && self.passed_over < PASSED_OVER;
+            let from_leg = self.acquirer.out.len() < self.buffer;
             tokio::select! {
                 biased;
                 order = orders.recv() => match order {
@@ -187,7 +215,7 @@
                 () = writable(self.leg.as_ref()) => {}
                 () = readable(self.leg.as_ref()), if from_leg => self.read_leg(),
                 () = readable(Some(&self.acquirer)), if from_acquirer => self.read_acquirer(),
-                () = until(self.over) => {}
+                () = until(end) => {}
             }
         }
     }
@@ -200,6 +228,7 @@
 
     fn obey(&mut self, order: Order) {
         match order {
+            Order::Drop => self.over = Some(Instant::now()),
             _ if self.over.is_some() => {}
             Order::OpenLeg { leg, address, wait } => {
                 self.close_leg();
@@ -214,6 +243,9 @@
                 self.acquirer.out.extend_from_slice(&words);
                 self.discard = true;
                 self.finish();
+                if words.is_empty() && answer == Answer::Late {
+                    self.over = Some(Instant::now());
+                }
             }
         }
     }
@@ -235,7 +267,8 @@
         if let Some(leg) = &mut self.leg {
             leg.finish = true;
         }
-        self.over.get_or_insert(Instant::now() + LINGER);
+        self.quiet = Instant::now();
+        self.over.get_or_insert(self.quiet + LINGER);
     }
 
     fn connected(&mut self, stream: io::Result<TcpStream>) {
@@ -247,6 +280,7 @@
                 self.leg = Some(end);
                 self.written = false;
             }
+            Err(error) if own_fault(&error) => self.leg_ended(LegEnd::NoSocket),
             Err(_) => self.leg_ended(LegEnd::NoConnection),
         }
     }
@@ -281,7 +315,10 @@
         match self.acquirer.read(&mut piece) {
             Ok(None) => {}
             Ok(Some(0)) => self.acquirer_ended(),
-            Ok(Some(_)) if self.over.is_some() => {}
+            Ok(Some(n)) if self.over.is_some() => {
+                self.quiet = Instant::now();
+                self.passed_over += n;
+            }
             Ok(Some(n)) => {
                 self.record(|tape, at| tape.data(at, Way::FromAcquirer, &piece[..n]));
                 let mut steps = Vec::new();
@@ -404,6 +441,7 @@
                 Step::Load(load) => self.hub.feed(Input::Load { auth, load }),
                 Step::LegEnded(end) => self.leg_ended(end),
                 Step::Close => {
+                    self.discard = true;
                     self.finish();
                     self.hub.feed(Input::Left { auth });
                 }
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch as watch_channel, Notify};
 use tokio::task::JoinHandle;
 
 use super::files::Files;
@@ -27,6 +27,8 @@
     CloseLeg,
     /// Give the answer and end.
     Answer(Answer),
+    /// End at once, whatever is left to write.
+    Drop,
 }
 
 /// What was seen of an authorisation, for replays.
@@ -62,6 +64,9 @@
     }
 }
 
+/// Where a watch is asked for, and its task.
+type Watch = (mpsc::Sender<()>, JoinHandle<()>);
+
 type Observed = HashMap<AuthId, Vec<Seen>>;
 
 /// The reducer's state and those who carry out its effects.
@@ -78,7 +83,9 @@
     pub(super) observed: RefCell<Option<Observed>>,
     met: RefCell<HashMap<AuthId, Time>>,
     pub(super) recorder: RefCell<Option<Recorder>>,
-    watches: RefCell<HashMap<usize, (mpsc::Sender<()>, JoinHandle<()>)>>,
+    watches: RefCell<HashMap<usize, Watch>>,
+    /// Whether the fronts may accept.
+    doors: watch_channel::Sender<bool>,
     next: Cell<u64>,
     exit: mpsc::UnboundedSender<()>,
     timer: Notify,
@@ -100,6 +107,7 @@
             met: RefCell::default(),
             recorder: RefCell::default(),
             watches: RefCell::default(),
+            doors: watch_channel::Sender::new(true),
             next: Cell::new(0),
             exit,
             timer: Notify::new(),
@@ -130,6 +138,8 @@
                     self.order(auth, Order::OpenLeg { leg, address, wait })
                 }
                 Effect::CloseLeg { auth } => self.order(auth, Order::CloseLeg),
+                Effect::Drop { auth } => self.order(auth, Order::Drop),
+                Effect::Doors { open } => drop(self.doors.send_replace(open)),
                 Effect::Answer { auth, answer } => self.order(auth, Order::Answer(answer)),
                 Effect::Watch { pool } => {
                     if let Some((watch, _)) = self.watches.borrow().get(&pool) {
@@ -234,9 +244,21 @@
         (auth, orders)
     }
 
-    /// A connection's task has ended.
-    pub fn leave(&self, auth: AuthId) {
+    /// A connection's task has ended, and its sockets are closed.
+    pub fn leave(self: &Rc<Self>, auth: AuthId) {
         self.connections.borrow_mut().remove(&auth);
+        self.feed(Input::Closed { auth });
+    }
+
+    /// Bytes that a connection may hold for a side that does not read.
+    pub fn buffer(&self) -> usize {
+        self.state.borrow().budget().buffer
+    }
+
+    /// Waits until the fronts may accept.
+    pub async fn open_doors(&self) {
+        // It fails only when the sender is gone, which is this hub's own.
+        let _ = self.doors.subscribe().wait_for(|open| *open).await;
     }
 
     /// Waits a little for answers that are still being written.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -47,6 +47,10 @@
     bind().map_err(|e| format!("cannot listen on {address}: {e}"))
 }
 
+/// Between two tries to accept that fail: twice as long each time.
+const LEAST_PAUSE: Duration = Duration::from_millis(5);
+const MOST_PAUSE: Duration = Duration::from_millis(250);
+
 /// Makes the connections of a front.
 type Makes = Box<dyn Fn() -> Box<dyn Front>>;
 
@@ -70,13 +74,14 @@
 impl Fronts {
     /// Sets the fronts up and tells the reducer of their hosts; nothing listens yet.
     fn open(config: Config, kept: Vec<(String, Entry)>) -> Result<Fronts, String> {
-        let Config { platform, irc, store } = config;
+        let Config { platform, irc, store, budget } = config;
         let mut setup = StoreSetup { kept, ..StoreSetup::default() };
+
         if let Some(store) = store {
             (setup.node, setup.peers) = (store.node, store.peers);
         }
         let pools = platform.iter().map(|p| p.pool.clone()).chain(irc.iter().map(|irc| irc.pool.clone()));
-        let (hub, exit) = Hub::new(|now| State::new(pools.collect(), setup, now));
+        let (hub, exit) = Hub::new(|now| State::new(pools.collect(), setup, budget, now));
         let mut fronts = Fronts { hub, exit, platform: None, irc: None };
         let mut pool = 0;
         if let Some(platform) = platform {
@@ -146,7 +151,7 @@
     /// Reads the configuration again and puts it in place at one go. Danger: what fails may come only before
     /// the first change, or half of a configuration would be in force.
     fn reload(&mut self) -> Result<(), String> {
-        let Config { platform, irc, store } = self.sources.read()?;
+        let Config { platform, irc, store, budget } = self.sources.read()?;
         let fixed = |store: &Option<StoreConfig>| {
             store.clone().map(|store| StoreConfig { peers: Vec::new(), ..store })
         };
@@ -161,7 +166,7 @@
             shop.iter().map(|(p, _)| p.pool.clone()).chain(irc.iter().map(|(irc, _)| irc.pool.clone()));
         let peers = store.as_ref().map_or(Vec::new(), |store| store.peers.clone());
         self.store = store;
-        self.hub.feed(Input::Configure { pools: pools.collect(), peers });
+        self.hub.feed(Input::Configure { pools: pools.collect(), peers, budget });
         let mut pool = 0;
         if let Some((platform, listener)) = shop {
             let at = bound(&listener, platform.listen);
@@ -242,13 +247,23 @@
 }
 
 async fn accept(hub: Rc<Hub>, listener: Rc<TcpListener>, pool: usize, makes: Makes) {
+    let mut pause = LEAST_PAUSE;
     loop {
+        hub.open_doors().await;
         match listener.accept().await {
-            Ok((stream, _)) => drop(connection::start(&hub, pool, stream, makes())),
+            Ok((stream, _)) => {
+                connection::start(&hub, pool, stream, makes());
+                pause = LEAST_PAUSE;
+                // Danger: where many come at once, none may be judged before its first line could be read.
+                tokio::task::yield_now().await;
+            }
             Err(error) => {
                 // Danger: with no descriptor free, accept fails at once, again and again.
-                crate::log!(warn, "cannot accept: {error}");
-                tokio::time::sleep(Duration::from_millis(10)).await;
+                if pause == LEAST_PAUSE {
+                    crate::log!(warn, "cannot accept: {error}");
+                }
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(MOST_PAUSE);
             }
         }
     }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -1,6 +1,6 @@
 //! Configuration: what is wrong is told by its key.
 
-use sagemount::program::config::{parse_operator, parse_platform, store_entry};
+use sagemount::program::config::{parse_operator, parse_platform, store_entry, Limits};
 
 #[test]
 fn the_operators_file_that_is_shipped_is_sound() {
@@ -47,6 +47,27 @@
     );
 }
 
+/// Danger: usual clients alone hold a third of the descriptors, and their legs as many again.
+#[test]
+fn budgets_follow_from_the_limits() {
+    for (sockets, memory_mb) in [(256, 32), (1024, 32), (1024, 192), (64, 8), (65_536, 16)] {
+        let budget = Limits { sockets, memory_mb }.budget();
+        let all = budget.waiting + 2 * budget.held;
+        assert!(all + 20 <= sockets, "{budget:?} of {sockets}");
+        assert!(all * budget.buffer <= memory_mb << 19, "{budget:?} of {memory_mb} MB");
+        assert!(budget.held >= sockets / 3 || !(256..=1024).contains(&sockets), "{budget:?} of {sockets}");
+        assert!(budget.waiting > 0 && budget.held > 0, "{budget:?}");
+    }
+    let with = |more: &str| {
+        let text =
+            format!(r#"{{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "limits": {{{more}}}}}"#);
+        parse_platform(text.as_bytes()).map(|platform| platform.limits).map_err(|fault| fault.to_string())
+    };
+    assert_eq!(with(r#""sockets": 384, "memory_mb": 48"#), Ok(Limits { sockets: 384, memory_mb: 48 }));
+    assert!(with(r#""sockets": 12"#).is_err_and(|told| told.starts_with("limits.sockets: ")));
+    assert!(with(r#""memory_mb": "all""#).is_err_and(|told| told.starts_with("limits.memory_mb: ")));
+}
+
 #[test]
 fn what_an_operator_writes_to_the_store_is_checked() {
     for (key, value) in [
