Let ceilings follow what sound servers hold, and overflow fit one connection

Checked: a probe printed what the module holds and believes at each refusal. Faulty: in pick(), 'held + price <= ceiling + 1' can hold for no connection of more than one slot, or for the first of a group, which takes three; and started() raises a ceiling by one however much was taken, so that it falls behind for good. Nothing refused can raise it. Moves off hot servers found no room either. Ruled out: health (no failures on those servers), cold starts (warm), descriptors (115 of 588).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,8 @@
 //! server has room it goes one over the ceiling, to one that has not lately refused, dropped or been
 //! slow; when there is none of those either it is refused, at once. Ceilings are learned: a few slots
 //! at first, one more when a connection that filled the last slot is accepted, cut when the server
-//! refuses, drops, or reports that it nears its capacity. What departs from that is marked DEPARTURE.
+//! refuses, drops, or reports that it nears its capacity, and raised to what has long been held without
+//! trouble. What departs from that is marked DEPARTURE.
 
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,6 +47,8 @@
 /// A cold server gets this share of what would push it over if all balancers did the same: the
 /// others may judge by other occupancies.
 const COLD_SAFETY: f64 = 0.5;
+/// So many times "lately" a server that had trouble is taken to be at its limit.
+const LONG: Micros = 4;
 /// A failure counts twice what a start takes back: a server that accepts and then drops must not pass
 /// for sound.
 const FAILURE_STEP: u32 = 2;
@@ -55,6 +58,7 @@
 // ---- State ----
 
 /// One server as this balancer sees it.
+#[derive(Default)]
 struct Server {
     listed: Listed,
     /// Its process, numbered by this balancer: what an earlier one held is not released from a later.
@@ -103,6 +107,7 @@
 }
 
 /// A request from its arrival until it is answered and its last attempt has ended.
+#[derive(Default)]
 struct Request {
     class: ClassId,
     group: Option<GroupId>,
@@ -248,7 +253,7 @@
         }
         for entry in entries {
             self.lives += 1;
-            let fresh = Server::new(*entry, self.lives);
+            let fresh = Server { listed: *entry, life: self.lives, ..Server::default() };
             match self.servers.get_mut(&entry.server) {
                 // A new process holds nothing of the old one's, and inherits neither good nor bad name.
                 Some(server) if entry.started > server.listed.started => *server = fresh,
@@ -372,7 +377,8 @@
         // Danger: every hot server may give up one, at every balancer: there must be room for all those.
         let (calm, hot): (Vec<_>, Vec<_>) =
             self.serving().partition(|s| s.calm(now, self.lately) && s.failures == 0);
-        let room: f64 = calm.iter().map(|s| (s.ceiling - s.held).max(0.0)).sum();
+        let most = |s: &&Server| s.ceiling + s.overflow(now, self.lately, 1.0) - s.held;
+        let room: f64 = calm.iter().map(most).map(|room| room.max(0.0)).sum();
         if room < hot.len().max(1) as f64 {
             return;
         }
@@ -450,7 +456,7 @@
                 continue;
             }
             let slots = s.price(request.group, request.slots);
-            let over = calm && s.held + slots <= s.ceiling + 1.0;
+            let over = calm && s.held + slots <= s.ceiling + s.overflow(now, self.lately, slots);
             lots.push(Lot {
                 server: s.listed.server,
                 own,
@@ -720,26 +726,6 @@
 }
 
 impl Server {
-    fn new(listed: Listed, life: u64) -> Server {
-        Server {
-            listed,
-            life,
-            held: 0.0,
-            groups: FxHashMap::default(),
-            open: BTreeSet::new(),
-            opening: 0,
-            ceiling: 0.0,
-            troubled: None,
-            failures: 0,
-            failed_at: None,
-            out_until: Time(0),
-            next_cold_send: Time(0),
-            moved: None,
-            report: None,
-            probed: None,
-        }
-    }
-
     /// Danger: a list may carry no weight, or a nonsensical one.
     fn weight(&self) -> f64 {
         Some(self.listed.weight).filter(|weight| *weight > 0.0 && weight.is_finite()).unwrap_or(1.0)
@@ -774,6 +760,17 @@
         self.troubled.is_none_or(|at| now.since(at) > lately)
     }
 
+    /// How far it may go over its ceiling, for a connection that takes so many slots. Danger: "one" of a slot
+    /// would keep a heavy connection, or the first of a group, from a server that is sound for all that is
+    /// known, and its ceiling from ever rising. But one that had trouble not long ago is at its limit.
+    fn overflow(&self, now: Time, lately: Micros, slots: f64) -> f64 {
+        if self.calm(now, LONG * lately) {
+            slots.max(1.0)
+        } else {
+            1.0
+        }
+    }
+
     fn idle(&self) -> bool {
         self.open.is_empty() && self.opening == 0
     }
@@ -821,9 +818,12 @@
     }
 
     /// Danger: cuts drive a ceiling under what the server turns out to carry well. Each time that trouble
-    /// has stayed away for a while, it gets a slot back.
+    /// has stayed away for a while, it gets a slot back. Loads grow, too, and the first of a group takes
+    /// several slots: a ceiling left under what has long been held without trouble would never rise again.
     fn give_back(&mut self, now: Time, lately: Micros) {
-        if self.ceiling < self.held.max(1.0) && self.troubled.is_some() && self.calm(now, lately) {
+        if self.opening == 0 && self.calm(now, LONG * lately) {
+            self.ceiling = self.ceiling.max(self.held);
+        } else if self.ceiling < self.held.max(1.0) && self.troubled.is_some() && self.calm(now, lately) {
             self.troubled = Some(now);
             self.ceiling = (self.ceiling + 1.0).min(self.held.max(1.0));
         }
@@ -857,18 +857,7 @@
 
 impl Request {
     fn new(class: ClassId, group: Option<GroupId>, slots: f64) -> Request {
-        Request {
-            class,
-            group,
-            slots,
-            due: Time(0),
-            answered: false,
-            moved: false,
-            attempts: 0,
-            out: None,
-            failed_at: None,
-            may_have_run: None,
-        }
+        Request { class, group, slots, ..Request::default() }
     }
 
     /// Rule 2: once an attempt may have run, another goes only where it has no second effect.
--- a/src/types.rs
+++ b/src/types.rs
@@ -25,19 +25,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 /// A server; the same number at every balancer and across its restarts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 /// Index into [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ClassId(pub u16);
 /// Index into [`Settings::tenants`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TenantId(pub u16);
 /// A zone: servers and balancers of one zone reach each other without crossing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneId(pub u16);
 /// A set of servers that share which keys they have seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CellId(pub u32);
 /// Connections of one group share work: a server that holds any of them pays for the group once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -175,18 +175,19 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     /// Its process runs.
     Serving,
     /// It wraps up: nothing new may go there.
     Draining,
     /// It is gone.
+    #[default]
     Gone,
 }
 
 /// One entry of the server list.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     /// The server.
     pub server: ServerId,
