Spread what returns after a restart: overflow to any zone, the own one only near the mean

Ruled out: refusals (11 in all), failures before that (none on that host), cold starts (the host is old). At fault: pick() drew the own zone first for overflow as well, by ceiling, and each accepted connection raises the ceiling that draws the next.

Now a server of the own zone comes first only while it holds less than 1.25 times the mean and a few, and overflow is drawn from all zones, by size over the square of what is held.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,6 +37,8 @@
 const MEAN_PRIOR: f64 = 3.0;
 /// A server pays for a group that it holds about as for so many mean connections.
 const GROUP_SLOTS: f64 = 2.0;
+/// A server of the own zone comes first while it holds less than so many times the mean, and a few.
+const OWN_MORE: f64 = 1.25;
 /// Between two moves off one server: what the first did has to show before the next.
 const MOVE_GAP: Micros = 500_000;
 /// A balancer moves one for so many slots that it holds on a hot server: enough to cool it within seconds,
@@ -138,13 +140,15 @@
     server: ServerId,
     /// It is in the balancer's own zone.
     own: bool,
+    /// Slots held there.
+    held: f64,
     /// No connection held there tells how full it is.
     doubtful: bool,
     /// It holds some of the request's group.
     kin: bool,
     /// Its free room.
     free: f64,
-    /// Its share when all rooms are gone.
+    /// Its share when all rooms are gone: the less the more it holds for its size.
     over: f64,
 }
 
@@ -460,20 +464,25 @@
             lots.push(Lot {
                 server: s.listed.server,
                 own,
+                held: s.held,
                 // A fleet may grow because it is full: what is cold is not like the rest.
                 doubtful: s.held == 0.0 && s.warmth(&self.settings, now) == 1.0,
                 kin: s.holds(request.group),
                 free: s.room(&self.settings, now, slots),
-                over: if over { s.ceiling } else { 0.0 },
+                over: if over { s.weight() / (1.0 + s.held).powi(2) } else { 0.0 },
             });
         }
         let doubt = [0, 1].map(|own| self.rng.random_bool(trouble(known[own], bad[own])));
         lots.retain(|lot| !(lot.doubtful && doubt[usize::from(lot.own)]));
         // Danger: one of many balancers hears seldom of each server, and they all would try it again at once.
         self.lately = (self.settings.max_retry_after as f64 * (all / held).clamp(1.0, FEW)) as Micros;
+        // Danger: ceilings rise with what is accepted. Were the own zone always first, all that returns at
+        // once after a restart would end there; a few connections more than elsewhere are worth a crossing.
+        let most = OWN_MORE * held / f64::max(all, 1.0) + FEW;
         let own_first = self.settings.cross_zone_price > 0.0 && !doubt[1];
         let mut among = |share: fn(&Lot) -> f64, own_only: bool| {
-            let mut fit: Vec<_> = lots.iter().filter(|l| share(l) > 0.0 && (l.own || !own_only)).collect();
+            let near = |lot: &&Lot| !own_only || lot.own && lot.held <= most;
+            let mut fit: Vec<_> = lots.iter().filter(|lot| share(lot) > 0.0).filter(near).collect();
             match request.group {
                 Some(_) if fit.iter().any(|lot| lot.kin) => fit.retain(|lot| lot.kin),
                 // Danger: many balancers with a few connections each would spread a group over the whole
@@ -487,11 +496,9 @@
             }
             draw(&mut self.rng, &fit, share)
         };
-        let mut drawn = |share| {
-            let own = if own_first { among(share, true) } else { None };
-            own.or_else(|| among(share, false))
-        };
-        drawn(|lot| lot.free).or_else(|| drawn(|lot| lot.over)).or_else(|| self.desperate(now, id))
+        let own = if own_first { among(|lot| lot.free, true) } else { None };
+        let free = own.or_else(|| among(|lot| lot.free, false));
+        free.or_else(|| among(|lot| lot.over, false)).or_else(|| self.desperate(now, id))
     }
 
     /// Danger: when most of the fleet looks bad the fault may be here, or pass, and refusing everything
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -327,6 +327,18 @@
     assert!(!hot_with_others_at(4, Some(SLOW)));
 }
 
+/// Incident r256aba: a balancer that had just started placed 30 of 63 returning clients at the one host of its
+/// own zone, which then dropped 21 of them at once.
+#[test]
+fn a_wave_after_a_restart_spreads_over_all_zones() {
+    let settings = Settings { cross_zone_price: 0.03, ..settings() };
+    let list: Vec<Listed> =
+        (1..=4).map(|id| Listed { zone: ZoneId(u16::from(id > 1)), ..listed(id) }).collect();
+    let mut bench = Bench::new(settings, &list);
+    let own = (0..64).filter(|_| bench.place().1 == 1).count();
+    assert!((8..=28).contains(&own), "{own} of 64 in the own zone");
+}
+
 /// Seen on the bench's days with drains and resets: six sound servers refused nine of ten clients, since what
 /// they held had outgrown their ceilings, and nothing that was refused could raise them.
 #[test]
