--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -34,6 +34,8 @@
 /// A connection that stood before the start is tried this long, this far apart.
 const ADOPT_FOR: Micros = 30_000_000;
 const ADOPT_GAP: Micros = 500_000;
+/// The list from before the start may be old: a host that it does not name may be listed within this time.
+const ADOPT_UNLISTED: Micros = 2_000_000;
 /// A figure under this share of the mean load is no load: the least load seen over 5,000 of them, of an
 /// idle connection, was 1/52 of the mean.
 const LEAST_LOAD: f64 = 1.0 / 64.0;
@@ -521,7 +523,7 @@
         let server = host_number(&name);
         self.phase(id, Phase::Adopting(now.plus(ADOPT_FOR), server));
         self.tell(now, pool_id, Event::Open { request, class, tenant, group, load, server });
-        self.open_leg(now, id, server, ADOPT_FOR);
+        self.adopt_again(now, id, now.plus(ADOPT_FOR), server);
     }
 
     fn left(&mut self, now: Time, id: AuthId) {
@@ -856,12 +858,17 @@
     /// The leg of a connection that stood before the start is over, or the pause after it is.
     fn adopt_again(&mut self, now: Time, id: AuthId, until: Time, host: ServerId) {
         let Some(auth) = self.auths.get(&id) else { return };
-        let most = self.pools[auth.pool].setup.settings.max_attempts;
-        if now < until && auth.legs < most {
+        let pool = &self.pools[auth.pool];
+        let (most, listed) = (pool.setup.settings.max_attempts, pool.table.any(host).is_some());
+        // Danger: a client may name a host that there never was; it is owed its error soon.
+        if now < until && auth.legs < most && (listed || now.since(auth.met) < ADOPT_UNLISTED) {
             if self.drop_leg(id).is_some() {
                 self.effects.push(Effect::CloseLeg { auth: id });
             }
-            self.open_leg(now, id, host, until.since(now));
+            match listed {
+                true => self.open_leg(now, id, host, until.since(now)),
+                false => self.set_due(id, Some(now.plus(ADOPT_GAP))),
+            }
         } else {
             self.effects.push(Effect::Answer { auth: id, answer: Answer::Failed });
             self.end(now, id, Outcome::Reset);
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -153,6 +153,20 @@
     assert_eq!(desk.put(Input::LegUp { auth, leg: 1 }), []);
 }
 
+/// Danger: "at" may name a host that there never was. It was tried six times, at no address, before the error.
+#[test]
+fn one_that_stood_at_no_listed_host_has_its_error_within_three_seconds() {
+    let mut desk = Desk::new();
+    let auth = desk.met();
+    let at = Authorisation { standing_at: Some("s-0000dead".to_owned()), ..ask() };
+    let mut effects = desk.put(Input::Authorise { auth, ask: at });
+    for _ in 0..28 {
+        desk.pass(100_000);
+        effects.extend(desk.put(Input::Tick));
+    }
+    assert_eq!(effects.first(), Some(&Effect::Answer { auth, answer: Answer::Failed }));
+}
+
 /// A request that the module gives up on is answered at once, with when to come back.
 #[test]
 fn a_refusal_comes_at_once_and_says_when_to_come_back() {
