--- a/tests/irc.rs
+++ b/tests/irc.rs
@@ -301,3 +301,17 @@
     client.expect("001 pia");
     assert!(new.has("NICK pia") && !old.has("NICK pia"));
 }
+
+/// The budget is the process's: those who connect by the hundred and say nothing cost nobody here either.
+#[test]
+fn silent_clients_by_the_hundred_are_in_nobodys_way() {
+    let server = Server::start(Manner::Welcome);
+    let daemon = front(&[&server], ", \"limits\": {\"sockets\": 160, \"memory_mb\": 32}");
+    let mut silent: Vec<Client> = (0..400).map(|_| Client::connect(&daemon.irc)).collect();
+    let mut usual = Client::register(&daemon.irc, "rosa");
+    usual.expect("001 rosa");
+    // The oldest made room; the last ones may still register.
+    assert_eq!(silent[0].rest(), "");
+    silent[399].say("NICK sven\r\nUSER u 0 * :A tool");
+    silent[399].expect("001 sven");
+}
