--- a/src/program/commands.rs
+++ b/src/program/commands.rs
@@ -111,7 +111,8 @@
 struct Version {}
 
 fn sources(config: Option<PathBuf>, irc: Option<PathBuf>) -> Sources {
-    Sources { platform: config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from)), irc }
+    let platform = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
+    Sources { platform, irc, mgmt: std::env::var("NODE_MGMT").ok().filter(|text| !text.is_empty()) }
 }
 
 fn carry_out(command: Command) -> Result<(), String> {
@@ -122,8 +123,8 @@
         }
         Command::Replay(replay) => {
             let config = match replay.front {
-                transport::Which::Platform => config::read(Some(&replay.config), None)?,
-                transport::Which::Irc => config::read(None, Some(&replay.config))?,
+                transport::Which::Platform => config::read(Some(&replay.config), None, None)?,
+                transport::Which::Irc => config::read(None, Some(&replay.config), None)?,
             };
             transport::replay(&replay.file, config, replay.front, replay.port)
         }
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -9,6 +9,7 @@
 use crate::protocol::json::{self, Fault, Place};
 use crate::routing::store::LONGEST_NODE;
 use crate::routing::{stored_host, Budget, IssuerHost, Lifecycle, PoolSetup};
+use crate::transport::MOST_CALLERS;
 use crate::{Class, Micros, Repeat, Scope, Settings, Tenant, ZoneId};
 
 /// The acquirer side of the platform has so long for its first line, which it sends at once. One that says
@@ -25,6 +26,8 @@
     pub platform: Option<Platform>,
     /// The IRC front.
     pub irc: Option<Irc>,
+    /// The operators' door, if there is to be one.
+    pub mgmt: Option<SocketAddr>,
     /// The store, where an operator's file sets one up.
     pub store: Option<StoreConfig>,
     /// What both fronts together may hold.
@@ -50,7 +53,10 @@
 
 impl Limits {
     /// Descriptors that are not connections: listeners, discovery, the log and what the runtime needs.
-    const OWN: usize = 24;
+    const OWN: usize = 20;
+    /// The operators' door: its listener, its callers, and one more before the oldest of them goes.
+    const DOOR: usize = MOST_CALLERS + 2;
+    const LEAST: usize = 64;
     /// Bytes of a buffer: a few lines in each direction of a connection.
     const LEAST_BUFFER: usize = 8 << 10;
     const MOST_BUFFER: usize = 16 << 10;
@@ -61,8 +67,8 @@
             sockets: place.at("sockets").number(default.sockets as f64)? as usize,
             memory_mb: place.at("memory_mb").number(default.memory_mb as f64)? as usize,
         };
-        if limits.sockets < 2 * Limits::OWN {
-            return Err(place.at("sockets").fault("at least 48 descriptors are wanted"));
+        if limits.sockets < Limits::LEAST {
+            return Err(place.at("sockets").fault("at least 64 descriptors are wanted"));
         }
         if limits.memory_mb < 8 {
             return Err(place.at("memory_mb").fault("at least 8 megabytes are wanted"));
@@ -75,13 +81,16 @@
         Limits { sockets, memory_mb }
     }
 
-    /// A quarter of the descriptors is for connections without a leg, the rest for those with one, who take
-    /// two each. Half of the memory is for the buffers of all of them: one each, two with a leg.
-    pub fn budget(self) -> Budget {
-        let (free, memory) = (self.sockets - Limits::OWN, (self.memory_mb << 20) / 2);
+    /// About a quarter of the descriptors is for connections without a leg, the rest for those with one, who
+    /// take two each. Half of the memory is for the buffers of all of them: one each, two with a leg. The
+    /// operators' door, where there is one, has its own set aside.
+    pub fn budget(self, door: bool) -> Budget {
+        let own = Limits::OWN + if door { Limits::DOOR } else { 0 };
+        let (free, memory) = (self.sockets - own, (self.memory_mb << 20) / 2);
         let most = memory / Limits::LEAST_BUFFER;
-        let waiting = (free / 4).min(most / 4);
-        let held = (free - waiting).min(most - waiting) / 2;
+        // Danger: usual clients alone may hold a third of all descriptors, with a leg for each.
+        let held = (free * 3 / 8).max(self.sockets / 3 + 1).min(free * 7 / 16).min(most * 3 / 8);
+        let waiting = (free - 2 * held).min(most / 4);
         let buffer = memory / (waiting + 2 * held);
         Budget { waiting, held, buffer: buffer.clamp(Limits::LEAST_BUFFER, Limits::MOST_BUFFER) }
     }
@@ -113,6 +122,8 @@
     pub pool: PoolSetup,
     /// What the platform gives the process.
     pub limits: Limits,
+    /// The operators' door.
+    pub mgmt: Option<SocketAddr>,
 }
 
 /// Where the configuration stands; it is read again on SIGHUP.
@@ -122,12 +133,19 @@
     pub platform: Option<PathBuf>,
     /// An operator's file.
     pub irc: Option<PathBuf>,
+    /// The operators' door where neither file names one.
+    pub mgmt: Option<String>,
 }
 
 impl Sources {
     /// Reads and checks all of it.
     pub fn read(&self) -> Result<Config, String> {
-        read(self.platform.as_deref(), self.irc.as_deref())
+        let mgmt = self.mgmt.as_deref().map(|text| {
+            let problem =
+                |_| "NODE_MGMT: an address with a port is wanted, such as 127.0.0.1:19000".to_owned();
+            text.parse().map_err(problem)
+        });
+        read(self.platform.as_deref(), self.irc.as_deref(), mgmt.transpose()?)
     }
 }
 
@@ -136,20 +154,23 @@
     std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-/// Reads and checks the platform's configuration and an operator's, as far as given.
-pub fn read(platform: Option<&Path>, irc: Option<&Path>) -> Result<Config, String> {
+/// Reads and checks the platform's configuration and an operator's, as far as given. The operators' door is
+/// where the first that names it says, or else here.
+pub fn read(platform: Option<&Path>, irc: Option<&Path>, mgmt: Option<SocketAddr>) -> Result<Config, String> {
     fn file<T>(path: Option<&Path>, parse: impl Fn(&[u8]) -> Result<T, Fault>) -> Result<Option<T>, String> {
         let Some(path) = path else { return Ok(None) };
         parse(&read_file(path)?).map(Some).map_err(|fault| format!("{}: {fault}", path.display()))
     }
     let operator = file(irc, parse_operator)?;
     let operator_limits = operator.as_ref().map(|operator| operator.limits);
+    let operator_mgmt = operator.as_ref().and_then(|operator| operator.mgmt);
     let (irc, store) = operator.map_or((None, None), |operator| (Some(operator.irc), operator.store));
     let platform = file(platform, parse_platform)?;
     // Both fronts share one process: the tighter limits hold.
     let limits = [platform.as_ref().map(|p| p.limits), operator_limits].into_iter().flatten();
-    let budget = limits.reduce(Limits::tighter).unwrap_or_default().budget();
-    let config = Config { platform, irc, store, budget };
+    let mgmt = platform.as_ref().and_then(|p| p.mgmt).or(operator_mgmt).or(mgmt);
+    let budget = limits.reduce(Limits::tighter).unwrap_or_default().budget(mgmt.is_some());
+    let config = Config { platform, irc, mgmt, store, budget };
     if config.platform.is_none() && config.irc.is_none() {
         return Err("no front to serve: give --config FILE, set NODE_CONFIG or give --irc FILE".to_owned());
     }
@@ -170,6 +191,7 @@
         known: http::news(&known)?,
         pool,
         limits: Limits::read(&root.at("limits"))?,
+        mgmt: maybe_address(&root.at("mgmt"))?,
     })
 }
 
@@ -204,6 +226,8 @@
     pub store: Option<StoreConfig>,
     /// What the process may use.
     pub limits: Limits,
+    /// The operators' door.
+    pub mgmt: Option<SocketAddr>,
 }
 
 /// Reads and checks the text of an operator's file.
@@ -212,6 +236,7 @@
     let root = Place::root(&document);
     let known = [
         "listen",
+        "mgmt",
         "name",
         "public",
         "seed",
@@ -286,7 +311,8 @@
             longest_wait: give_up,
         },
     };
-    Ok(Operator { irc, store: store(&root.at("store"))?, limits: Limits::read(&limits)? })
+    let mgmt = maybe_address(&root.at("mgmt"))?;
+    Ok(Operator { irc, store: store(&root.at("store"))?, limits: Limits::read(&limits)?, mgmt })
 }
 
 fn store(place: &Place<'_>) -> Result<Option<StoreConfig>, Fault> {
@@ -324,6 +350,10 @@
         .map_err(|_| place.fault("an address with a port is wanted, such as 127.0.0.1:8081"))
 }
 
+fn maybe_address(place: &Place<'_>) -> Result<Option<SocketAddr>, Fault> {
+    place.exists().then(|| address(place)).transpose()
+}
+
 fn seed(place: &Place<'_>) -> Result<u64, Fault> {
     let Some(text) = place.text()? else { return Ok(0) };
     u64::from_str_radix(&text, 16).map_err(|_| place.fault("up to 16 hexadecimal digits are wanted"))
--- /dev/null
+++ b/src/protocol/mgmt.rs
@@ -0,0 +1,52 @@
+//! The operators' door: one line in, an answer of lines out.
+
+use std::fmt::Write;
+
+use winnow::combinator::alt;
+use winnow::error::ContextError;
+use winnow::Parser;
+
+use crate::routing::{Call, Figures, Reply};
+
+/// The longest call, its end included.
+pub const LONGEST_CALL: usize = 256;
+
+/// Reads a call, without its line's end; or else says what is wrong with it.
+pub fn call(line: &[u8]) -> Result<Call, &'static str> {
+    let plain = alt((b"readyz".value(Call::Ready), b"telemetry".value(Call::Telemetry)));
+    let mut call = plain;
+    Parser::<_, _, ContextError>::parse(&mut call, line).map_err(|_| "readyz or telemetry is wanted")
+}
+
+/// A name as part of a figure's name, which ends at a colon and has no blanks.
+fn part(name: &str) -> String {
+    name.chars().map(|c| if c.is_ascii_graphic() && !":|@#".contains(c) { c } else { '_' }).collect()
+}
+
+fn figures(figures: &Figures) -> String {
+    let mut out = String::new();
+    let mut line = |name: &str, value: u64, kind: &str| {
+        // A string takes all that is written to it.
+        let _ = write!(out, "edge_node.{name}:{value}|{kind}\r\n");
+    };
+    for (class, counts) in &figures.classes {
+        let class = part(class);
+        line(&format!("results.{class}.succeeded"), counts.succeeded, "c");
+        line(&format!("results.{class}.declined"), counts.declined, "c");
+        line(&format!("results.{class}.aborted"), counts.aborted, "c");
+    }
+    line("forwards", figures.forwards, "c");
+    line("outstanding", figures.outstanding, "g");
+    line("discovered", figures.discovered, "g");
+    line("ejected", figures.ejected, "g");
+    out + "END\r\n"
+}
+
+/// Writes an answer.
+pub fn reply(reply: &Reply) -> Vec<u8> {
+    match reply {
+        Reply::Yes => b"YES\r\n".to_vec(),
+        Reply::No(reason) => format!("NO {reason}\r\n").into_bytes(),
+        Reply::Figures(all) => figures(all).into_bytes(),
+    }
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -6,6 +6,7 @@
 pub mod irc;
 pub mod json;
 pub mod lines;
+pub mod mgmt;
 pub mod pcap;
 pub mod platform;
 
--- a/src/routing/acquirer.rs
+++ b/src/routing/acquirer.rs
@@ -17,6 +17,7 @@
         let greeting = entered.setup.greeting;
         let auth = Auth {
             pool,
+            class: None,
             id: None,
             phase: Phase::Greeting,
             legs: 0,
@@ -32,8 +33,6 @@
         self.make_room(now);
     }
 
-    /// Danger: hundreds that connect and say nothing, or do not go when they are answered, would use up the
-
     /// Danger: hundreds that connect and say nothing, or do not go when they are answered, would use up the
     /// descriptors. The oldest makes room; where all are too fresh to judge, the fronts stop accepting.
     pub(super) fn make_room(&mut self, now: Time) {
@@ -59,10 +58,12 @@
         let Some(auth) = self.auths.get(&id).filter(|a| a.phase == Phase::Greeting) else { return };
         let (pool_id, met) = (auth.pool, auth.met);
         let greeting = self.pools[pool_id].setup.greeting;
+        let index = |names: &[String], name: &str| names.iter().position(|n| !name.is_empty() && n == name);
+        let class = index(&self.pools[pool_id].setup.classes, &ask.class).map(|n| ClassId(n as u16));
+        self.auths.entry(id).and_modify(|auth| auth.class = class);
         if self.leaving.is_some() {
             // What still arrives at a balancer that leaves is answered, and told to come again.
-            self.forget(now, id);
-            return self.effects.push(Effect::Answer { auth: id, answer: Answer::Refused(LEAVING_WAIT) });
+            return self.answer(now, id, Answer::Refused(LEAVING_WAIT));
         }
         let held: usize = self.pools.iter().map(|pool| pool.held).sum();
         let pool = &self.pools[pool_id];
@@ -70,12 +71,9 @@
         let limit = limit.and_then(|text| text.parse().ok()).unwrap_or(pool.setup.most_held);
         if pool.held >= limit || held >= self.budget.held {
             let wait = pool.setup.settings.max_retry_after / 2;
-            self.forget(now, id);
-            return self.effects.push(Effect::Answer { auth: id, answer: Answer::Refused(wait) });
+            return self.answer(now, id, Answer::Refused(wait));
         }
-        let index = |names: &[String], name: &str| names.iter().position(|n| !name.is_empty() && n == name);
-        let (classes, tenants) = (&pool.setup.classes, &pool.setup.tenants);
-        let class = index(classes, &ask.class).map(|n| ClassId(n as u16));
+        let tenants = &pool.setup.tenants;
         let tenant = ask.tenant.as_deref().map(|name| index(tenants, name).map(|n| TenantId(n as u16)));
         // Danger: what names nothing that is configured is no request; hosts could only turn it away. And
         // two that pass for one would have their answers mixed up by whoever counts them.
--- /dev/null
+++ b/src/routing/door.rs
@@ -0,0 +1,55 @@
+//! What operators ask for, and the figures that they are told.
+
+use super::{AuthId, Call, CallerId, Counts, Effect, Figures, Reply, State};
+use crate::{Micros, Time};
+
+/// Danger: with discovery down nobody would ever be ready, though the list from before the start may do.
+const READY_WITHOUT: Micros = 3_000_000;
+
+impl State {
+    pub(super) fn call(&mut self, now: Time, caller: CallerId, call: Call) {
+        let reply = match call {
+            Call::Ready => self.readiness(now).map_or_else(|why| Reply::No(why.to_owned()), |()| Reply::Yes),
+            Call::Telemetry => Reply::Figures(self.figures(now)),
+        };
+        self.effects.push(Effect::Reply { caller, reply });
+    }
+
+    /// Whether this process can serve, or why not.
+    fn readiness(&self, now: Time) -> Result<(), &'static str> {
+        let waited = now.since(self.started) >= READY_WITHOUT;
+        let listed = |pool: &super::Pool| pool.told || waited && !pool.listed.is_empty();
+        match () {
+            () if self.leaving.is_some() => Err("leaving"),
+            () if !self.listening => Err("not listening yet"),
+            () if !self.pools.iter().all(listed) => Err("no routing table yet"),
+            () => Ok(()),
+        }
+    }
+
+    /// Counts an outcome in its authorisation's class, if it has told one that is configured.
+    pub(super) fn count(&mut self, id: AuthId, add: impl FnOnce(&mut Counts)) {
+        let Some((pool, class)) = self.auths.get(&id).and_then(|a| Some((a.pool, a.class?))) else { return };
+        self.pools[pool].counts.get_mut(class.0 as usize).map(add);
+    }
+
+    /// The figures, as they are now.
+    fn figures(&self, now: Time) -> Figures {
+        let mut figures = Figures { forwards: self.forwards, ..Figures::default() };
+        for pool in &self.pools {
+            // One that is no longer configured is there by no name.
+            let named = pool.setup.classes.iter().zip(&pool.counts).filter(|(class, _)| !class.is_empty());
+            for (class, counts) in named {
+                let all = figures.classes.entry(class.clone()).or_default();
+                all.succeeded += counts.succeeded;
+                all.declined += counts.declined;
+                all.aborted += counts.aborted;
+            }
+            figures.outstanding += pool.held as u64;
+            figures.discovered += pool.table.hosts().count() as u64;
+            let avoided = pool.table.hosts().filter(|&host| pool.balancer.avoids(now, host));
+            figures.ejected += avoided.count() as u64;
+        }
+        figures
+    }
+}
--- a/src/routing/hosts.rs
+++ b/src/routing/hosts.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use super::{stored_host, AuthId, Budget, Effect, IssuerHost, Lifecycle, Phase, PoolId, PoolSetup, State};
+use super::{
+    stored_host, AuthId, Budget, Counts, Effect, IssuerHost, Lifecycle, Phase, PoolId, PoolSetup, State,
+};
 use crate::{Event, Outcome, ServerId, Time};
 
 impl State {
@@ -23,6 +25,7 @@
             let moved = setup.discovery.filter(|_| setup.discovery != pool.setup.discovery);
             pool.balancer.configure(setup.settings.clone());
             pool.setup = setup;
+            pool.counts.resize(pool.setup.classes.len(), Counts::default());
             self.refresh(now, id);
             self.effects.extend(moved.map(|discovery| Effect::WatchAt { pool: id, discovery }));
         }
--- a/src/routing/legs.rs
+++ b/src/routing/legs.rs
@@ -27,7 +27,15 @@
         self.auths.get_mut(&id)?.leg.as_mut().filter(|leg| leg.number == number)
     }
 
-    pub(super) fn time_leg(&mut self, id: AuthId) {
+    pub(super) fn leg_written(&mut self, id: AuthId, number: u32) {
+        if let Some(leg) = self.leg(id, number).filter(|leg| !leg.written) {
+            leg.written = true;
+            self.forwards += 1;
+        }
+        self.time_leg(id);
+    }
+
+    fn time_leg(&mut self, id: AuthId) {
         let Some(auth) = self.auths.get(&id).filter(|a| a.phase != Phase::Standing) else { return };
         if let Some(until) = auth.leg.filter(|leg| leg.written).map(|leg| leg.until) {
             self.set_due(id, Some(until));
@@ -42,6 +50,7 @@
         let (pool, placed) = (auth.pool, auth.phase == Phase::Placing);
         auth.phase = Phase::Standing;
         auth.move_at = self.leaving.map(|(_, at)| at.min(now.plus(LEAVING_FROM)));
+        self.count(id, |counts| counts.succeeded += 1);
         self.watch_over(now, id);
         if placed {
             self.tell(now, pool, Event::Started { request: RequestId(id.0), attempt: number });
@@ -68,7 +77,12 @@
                 self.set_due(id, Some(now.plus(ADOPT_GAP)));
             }
             Some(Phase::Placing) if end != LegEnd::Verdict => self.leg_failed(now, id, outcome),
-            Some(_) => self.end(now, id, outcome),
+            Some(phase) => {
+                if phase != Phase::Standing && end == LegEnd::Verdict {
+                    self.count(id, |counts| counts.declined += 1);
+                }
+                self.end(now, id, outcome)
+            }
             None => {}
         }
     }
@@ -109,7 +123,7 @@
                 false => self.set_due(id, Some(now.plus(ADOPT_GAP))),
             }
         } else {
-            self.effects.push(Effect::Answer { auth: id, answer: Answer::Failed });
+            self.give(id, Answer::Failed);
             self.end(now, id, Outcome::Reset);
         }
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,6 +6,7 @@
 //! its server.
 
 mod acquirer;
+mod door;
 mod hosts;
 mod legs;
 mod sharing;
@@ -21,10 +22,14 @@
 pub use table::{host_number, stored_host, IssuerHost, Lifecycle, RoutingTable};
 pub use words::*;
 
-use crate::{Action, Balancer, Event, Outcome, ServerId, Time};
+use crate::{Action, Balancer, ClassId, Event, Outcome, ServerId, Time};
 
 struct Pool {
     setup: PoolSetup,
+    /// How authorisations came out, by class.
+    counts: Vec<Counts>,
+    /// The routing table has been told since the start.
+    told: bool,
     balancer: Balancer,
     table: RoutingTable,
     /// The hosts as discovery or the operator's file lists them, before the store has its say.
@@ -62,6 +67,7 @@
 
 struct Auth {
     pool: PoolId,
+    class: Option<ClassId>,
     id: Option<String>,
     phase: Phase,
     legs: u32,
@@ -80,6 +86,11 @@
     pools: Vec<Pool>,
     auths: BTreeMap<AuthId, Auth>,
     timers: BTreeSet<(Time, AuthId)>,
+    /// Since when the process runs, and whether its fronts listen.
+    started: Time,
+    listening: bool,
+    /// Legs written in full.
+    forwards: u64,
     budget: Budget,
     /// Connections without a leg, and since when.
     waiting: BTreeMap<AuthId, Time>,
@@ -114,6 +125,8 @@
             balancer: Balancer::new(setup.settings.clone(), setup.seed, now),
             table: RoutingTable::default(),
             listed: BTreeMap::new(),
+            counts: vec![Counts::default(); setup.classes.len()],
+            told: false,
             held: 0,
             ids: BTreeSet::new(),
             wake: None,
@@ -125,6 +138,9 @@
             pools: pools.into_iter().map(pool).collect(),
             auths: BTreeMap::new(),
             timers: BTreeSet::new(),
+            started: now,
+            listening: false,
+            forwards: 0,
             budget,
             waiting: BTreeMap::new(),
             shut: None,
@@ -166,10 +182,7 @@
                 self.make_room(now);
             }
             Input::LegWritten { auth, leg } => {
-                if let Some(leg) = self.leg(auth, leg) {
-                    leg.written = true;
-                }
-                self.time_leg(auth);
+                self.leg_written(auth, leg);
             }
             Input::LegUp { auth, leg } => self.leg_up(now, auth, leg),
             Input::LegEnded { auth, leg, end } => self.leg_ended(now, auth, leg, end),
@@ -180,10 +193,18 @@
             }
             Input::Heard { auth } => self.heard(auth),
             Input::Load { auth, load } => self.told(now, auth, load),
-            Input::Table { pool, whole, hosts } => self.follow(now, pool, whole, hosts),
+            Input::Known { pool, hosts } => self.follow(now, pool, true, hosts),
+            Input::Table { pool, whole, hosts } => {
+                self.follow(now, pool, whole, hosts);
+                if let Some(pool) = self.pools.get_mut(pool) {
+                    pool.told = true;
+                }
+            }
             Input::TableLost { pool } => self.tell(now, pool, Event::ListFailed),
             Input::Gossip { from, gossip } => self.gossip(now, from, gossip),
             Input::Configure { pools, peers, budget } => self.configure(now, pools, peers, budget),
+            Input::Listening => self.listening = true,
+            Input::Call { caller, call } => self.call(now, caller, call),
             Input::Leave => self.leave(now),
             Input::Tick => self.tick(now),
         }
@@ -196,7 +217,7 @@
                     Some(Phase::Greeting) => Answer::Late,
                     _ => Answer::Failed,
                 };
-                self.effects.push(Effect::Answer { auth: id, answer });
+                self.give(id, answer);
                 self.end(now, id, Outcome::Cancelled);
             }
             self.effects.push(Effect::Exit);
@@ -211,8 +232,7 @@
             let Some(auth) = self.auths.get(&id) else { continue };
             match (auth.phase, auth.leg) {
                 (Phase::Greeting, _) => {
-                    self.forget(now, id);
-                    self.effects.push(Effect::Answer { auth: id, answer: Answer::Late });
+                    self.answer(now, id, Answer::Late);
                 }
                 (Phase::Placing, leg) => {
                     let written = leg.is_some_and(|leg| leg.written);
@@ -299,8 +319,19 @@
     fn answer(&mut self, now: Time, id: AuthId, answer: Answer) {
         // Danger: an authorisation that has ended in the meantime must not be answered a second time.
         if self.auths.contains_key(&id) {
+            self.give(id, answer);
             self.forget(now, id);
-            self.effects.push(Effect::Answer { auth: id, answer });
         }
     }
+
+    /// The one place that gives an answer, and counts it.
+    fn give(&mut self, id: AuthId, answer: Answer) {
+        match answer {
+            Answer::Refused(_) => self.count(id, |counts| counts.declined += 1),
+            Answer::Failed => self.count(id, |counts| counts.aborted += 1),
+            // What stood was counted when it came to stand, and what never asked has no class.
+            Answer::Moved | Answer::Late => {}
+        }
+        self.effects.push(Effect::Answer { auth: id, answer });
+    }
 }
--- a/src/routing/standing.rs
+++ b/src/routing/standing.rs
@@ -78,7 +78,7 @@
 
     /// The acquirer side is told to come again, and both sides are closed.
     pub(super) fn move_away(&mut self, now: Time, id: AuthId, outcome: Outcome) {
-        self.effects.push(Effect::Answer { auth: id, answer: Answer::Moved });
+        self.give(id, Answer::Moved);
         self.end(now, id, outcome);
     }
 
--- a/src/routing/table.rs
+++ b/src/routing/table.rs
@@ -51,6 +51,11 @@
         self.hosts.get(&host)
     }
 
+    /// All that are listed.
+    pub fn hosts(&self) -> impl Iterator<Item = ServerId> + '_ {
+        self.hosts.keys().copied()
+    }
+
     /// Takes in all hosts, and returns them in the module's terms.
     pub fn follow(&mut self, hosts: impl Iterator<Item = IssuerHost>, zones: &[String]) -> Vec<Listed> {
         self.hosts = hosts.map(|host| (host_number(&host.name), host)).collect();
--- a/src/routing/words.rs
+++ b/src/routing/words.rs
@@ -54,6 +54,54 @@
     Verdict,
 }
 
+/// What an operator asks for at the door.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    /// Whether this process can serve.
+    Ready,
+    /// The figures.
+    Telemetry,
+}
+
+/// What an operator is told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Yes,
+    /// No, and why.
+    No(String),
+    Figures(Figures),
+}
+
+/// How authorisations of a class came out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Brought up.
+    pub succeeded: u64,
+    /// Refused.
+    pub declined: u64,
+    /// Failed.
+    pub aborted: u64,
+}
+
+/// What the balancer reports: counts since the start of the process, and what holds now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// Every configured class, by name.
+    pub classes: std::collections::BTreeMap<String, Counts>,
+    /// Legs written in full.
+    pub forwards: u64,
+    /// Authorisations taken and not yet ended, those that stand included.
+    pub outstanding: u64,
+    /// Issuer hosts listed.
+    pub discovered: u64,
+    /// Of those, the ones avoided now.
+    pub ejected: u64,
+}
+
+/// One caller at the operators' door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallerId(pub u64);
+
 /// A final answer, or the one notice that a standing connection is moved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -91,6 +139,8 @@
     /// It told a figure: the connection's load in microseconds of work a second, or, where the settings
     /// say that hosts tell it, the milliseconds that a message takes there.
     Load { auth: AuthId, load: f64 },
+    /// A routing table as it was last held, which may be old.
+    Known { pool: PoolId, hosts: Vec<IssuerHost> },
     /// News of a routing table: all of it, or what changed.
     Table { pool: PoolId, whole: bool, hosts: Vec<IssuerHost> },
     /// The watch on it broke, or could not be had.
@@ -99,6 +149,10 @@
     Gossip { from: SocketAddr, gossip: Gossip },
     /// The configuration was read again: its pools in the old order, and the other stores.
     Configure { pools: Vec<PoolSetup>, peers: Vec<SocketAddr>, budget: Budget },
+    /// The fronts listen.
+    Listening,
+    /// An operator calls.
+    Call { caller: CallerId, call: Call },
     /// This balancer is to leave.
     Leave,
     /// Time has come to something.
@@ -126,6 +180,8 @@
     Tell(Letter),
     /// Put an entry of the store where it outlives the process.
     Keep { key: String, entry: Entry },
+    /// Answer an operator's call.
+    Reply { caller: CallerId, reply: Reply },
     /// A line for the log.
     Log(String),
     /// Nothing is held any more: the balancer may go.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -250,6 +250,12 @@
         self.servers.get(&server).map(|s| (s.held, s.ceiling))
     }
 
+    /// Whether the pick avoids a listed server now: it failed, or is in trouble and has no room.
+    pub fn avoids(&self, now: Time, server: ServerId) -> bool {
+        let shy = |s: &Server| !s.healthy(now) || !s.calm(now, self.lately) && s.held >= s.ceiling;
+        self.servers.get(&server).is_some_and(shy)
+    }
+
     // ---- Servers and list following ----
 
     fn follow_list(&mut self, now: Time, entries: &[Listed], whole: bool) {
@@ -303,11 +309,8 @@
         }
         let all = self.loads.mean();
         let class = self.class_loads.get(class.0 as usize).map_or(all, |c| c.toward(all));
-        if all > 0.0 {
-            (class / all).min(MOST_SLOTS)
-        } else {
-            1.0
-        }
+        let slots = if all > 0.0 { class / all } else { 1.0 };
+        slots.min(MOST_SLOTS)
     }
 
     fn noted(&mut self, now: Time, id: RequestId, note: Note, actions: &mut Vec<Action>) {
@@ -749,8 +752,11 @@
     }
 
     fn ready(&self, now: Time) -> bool {
-        let healthy = self.failures == 0 || (self.opening == 0 && now >= self.out_until);
-        healthy && now >= self.next_cold_send
+        self.healthy(now) && now >= self.next_cold_send
+    }
+
+    fn healthy(&self, now: Time) -> bool {
+        self.failures == 0 || (self.opening == 0 && now >= self.out_until)
     }
 
     /// Share of its capacity that it surely has by now.
@@ -776,11 +782,8 @@
     /// would keep a heavy connection, or the first of a group, from a server that is sound for all that is
     /// known, and its ceiling from ever rising. But one that had trouble not long ago is at its limit.
     fn overflow(&self, now: Time, lately: Micros, slots: f64) -> f64 {
-        if self.calm(now, LONG * lately) {
-            slots.max(1.0)
-        } else {
-            1.0
-        }
+        let most = if self.calm(now, LONG * lately) { slots } else { 1.0 };
+        most.max(1.0)
     }
 
     fn idle(&self) -> bool {
--- /dev/null
+++ b/src/transport/door.rs
@@ -0,0 +1,97 @@
+//! The operators' door: its callers, each with one line and one answer.
+
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use super::hub::Hub;
+use crate::protocol::lines::{Cut, Lines};
+use crate::protocol::mgmt;
+use crate::routing::{Input, Reply};
+
+/// Callers at a time: their descriptors are set aside for them.
+pub const MOST_CALLERS: usize = 10;
+/// A caller says its line at once. Danger: some say nothing, or half of it, and stay.
+const HEARD: Duration = Duration::from_secs(2);
+/// After its answer a caller has so long to go. Danger: closed over what it still sends, the connection
+/// would be reset, and the answer lost.
+const LINGER: Duration = Duration::from_millis(200);
+
+struct Caller {
+    task: JoinHandle<()>,
+    /// It has said its line.
+    heard: Rc<Cell<bool>>,
+}
+
+/// Who is at the door now, the oldest first.
+#[derive(Default)]
+pub struct Callers(VecDeque<Caller>);
+
+impl Callers {
+    /// Takes a caller in. Where all places are taken, the oldest that has said nothing goes.
+    pub fn enter(&mut self, hub: &Rc<Hub>, stream: TcpStream) {
+        self.0.retain(|caller| !caller.task.is_finished());
+        if self.0.len() >= MOST_CALLERS {
+            let oldest = self.0.iter().position(|caller| !caller.heard.get()).unwrap_or(0);
+            if let Some(caller) = self.0.remove(oldest) {
+                caller.task.abort();
+            }
+        }
+        let heard = Rc::new(Cell::new(false));
+        let task = tokio::task::spawn_local(serve(hub.clone(), stream, heard.clone()));
+        self.0.push_back(Caller { task, heard });
+    }
+}
+
+/// Reads the line: an error says what is wrong with it, nothing that there never was any.
+async fn hear(stream: &mut TcpStream) -> Option<Result<Vec<u8>, &'static str>> {
+    let mut lines = Lines::default();
+    loop {
+        match lines.next(mgmt::LONGEST_CALL) {
+            Cut::Line(line) => return Some(Ok(line)),
+            Cut::TooLong => return Some(Err("too long for a call")),
+            Cut::None => {}
+        }
+        let mut piece = [0; mgmt::LONGEST_CALL];
+        match stream.read(&mut piece).await {
+            Ok(0) if lines.is_empty() => return None,
+            // Danger: what was cut off may have meant another host.
+            Ok(0) => return Some(Err("the line has no end")),
+            Ok(n) => lines.push(&piece[..n]),
+            Err(_) => return None,
+        }
+    }
+}
+
+async fn serve(hub: Rc<Hub>, mut stream: TcpStream, heard: Rc<Cell<bool>>) {
+    let line = match timeout(HEARD, hear(&mut stream)).await {
+        Ok(Some(line)) => line,
+        Ok(None) => return,
+        Err(_) => Err("no line came in time"),
+    };
+    heard.set(true);
+    let reply = match line.and_then(|line| mgmt::call(&line)) {
+        Ok(call) => hub.call(|caller| Input::Call { caller, call }).await,
+        Err(reason) => Reply::No(reason.to_owned()),
+    };
+    let answered = async {
+        stream.write_all(&mgmt::reply(&reply)).await?;
+        stream.shutdown().await?;
+        while stream.read(&mut [0; mgmt::LONGEST_CALL]).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    // Whether it waits for its answer or not: it has had it by now.
+    let _ = timeout(LINGER, answered).await;
+}
+
+/// Takes callers for ever.
+pub async fn accept(hub: Rc<Hub>, listener: Rc<TcpListener>) {
+    let mut callers = Callers::default();
+    super::accept_each(&listener, async || {}, async |stream| callers.enter(&hub, stream)).await;
+}
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch as watch_channel, Notify};
+use tokio::sync::{mpsc, oneshot, watch as watch_channel, Notify};
 use tokio::task::JoinHandle;
 
 use super::files::Files;
@@ -15,7 +15,7 @@
 use super::watch;
 use crate::protocol::gossip;
 use crate::routing::store::Gossip;
-use crate::routing::{reduce, Answer, AuthId, Effect, Input, LegEnd, State};
+use crate::routing::{reduce, Answer, AuthId, CallerId, Effect, Input, LegEnd, Reply, State};
 use crate::{Micros, Time};
 
 /// What a connection's task is to do.
@@ -87,6 +87,8 @@
     /// Whether the fronts may accept.
     doors: watch_channel::Sender<bool>,
     next: Cell<u64>,
+    /// Operators who wait for their answers.
+    callers: RefCell<HashMap<CallerId, oneshot::Sender<Reply>>>,
     exit: mpsc::UnboundedSender<()>,
     timer: Notify,
 }
@@ -109,6 +111,7 @@
             watches: RefCell::default(),
             doors: watch_channel::Sender::new(true),
             next: Cell::new(0),
+            callers: RefCell::default(),
             exit,
             timer: Notify::new(),
         };
@@ -154,6 +157,12 @@
                         files.keep(&key, &entry);
                     }
                 }
+                Effect::Reply { caller, reply } => {
+                    if let Some(waits) = self.callers.borrow_mut().remove(&caller) {
+                        // One that has gone needs no answer.
+                        let _ = waits.send(reply);
+                    }
+                }
                 Effect::Log(text) => crate::log!(info, "{text}"),
                 Effect::Exit => drop(self.exit.send(())),
             }
@@ -244,6 +253,15 @@
         (auth, orders)
     }
 
+    /// Hands an operator's call to the reducer and waits for what it says.
+    pub async fn call(self: &Rc<Self>, input: impl FnOnce(CallerId) -> Input) -> Reply {
+        let caller = CallerId(self.next.replace(self.next.get() + 1));
+        let (sender, reply) = oneshot::channel();
+        self.callers.borrow_mut().insert(caller, sender);
+        self.feed(input(caller));
+        reply.await.unwrap_or_else(|_| Reply::No("no answer".to_owned()))
+    }
+
     /// A connection's task has ended, and its sockets are closed.
     pub fn leave(self: &Rc<Self>, auth: AuthId) {
         self.connections.borrow_mut().remove(&auth);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! reducer, and its effects are carried out.
 
 mod connection;
+mod door;
 mod files;
 mod hub;
 mod record;
@@ -22,6 +23,7 @@
 use crate::protocol::{gossip, irc, platform, Front};
 use crate::routing::store::{Entry, Gossip};
 use crate::routing::{Input, State, StoreSetup};
+pub use door::MOST_CALLERS;
 use hub::Hub;
 use record::Recorder;
 pub use replay::{replay, Which};
@@ -74,7 +76,7 @@
 impl Fronts {
     /// Sets the fronts up and tells the reducer of their hosts; nothing listens yet.
     fn open(config: Config, kept: Vec<(String, Entry)>) -> Result<Fronts, String> {
-        let Config { platform, irc, store, budget } = config;
+        let Config { platform, irc, store, budget, .. } = config;
         let mut setup = StoreSetup { kept, ..StoreSetup::default() };
 
         if let Some(store) = store {
@@ -85,7 +87,7 @@
         let mut fronts = Fronts { hub, exit, platform: None, irc: None };
         let mut pool = 0;
         if let Some(platform) = platform {
-            fronts.hub.feed(Input::Table { pool, whole: true, hosts: platform.known.hosts });
+            fronts.hub.feed(Input::Known { pool, hosts: platform.known.hosts });
             fronts.platform = Some((pool, platform_makes()));
             pool += 1;
         }
@@ -105,29 +107,36 @@
 }
 
 /// Where a front takes its connections.
-struct Door {
+struct Gate {
     /// As configured, perhaps without a port of its own.
     wanted: SocketAddr,
     listener: Rc<TcpListener>,
     accepting: JoinHandle<()>,
 }
 
-impl Door {
-    fn open(hub: &Rc<Hub>, wanted: SocketAddr, listener: Rc<TcpListener>, pool: usize, makes: Makes) -> Door {
+impl Gate {
+    fn open(hub: &Rc<Hub>, wanted: SocketAddr, listener: Rc<TcpListener>, pool: usize, makes: Makes) -> Gate {
         let accepting = tokio::task::spawn_local(accept(hub.clone(), listener.clone(), pool, makes));
-        Door { wanted, listener, accepting }
+        Gate { wanted, listener, accepting }
     }
 
-    /// A listener at this address: that of an old door where it is the same.
-    fn listener(old: Option<&Door>, wanted: SocketAddr) -> Result<Rc<TcpListener>, String> {
-        match old.filter(|door| door.wanted == wanted) {
-            Some(door) => Ok(door.listener.clone()),
+    /// The operators' door.
+    fn door(hub: &Rc<Hub>, wanted: SocketAddr, listener: Rc<TcpListener>) -> Gate {
+        crate::log!(info, "operators are heard on {}", bound(&listener, wanted));
+        let accepting = tokio::task::spawn_local(door::accept(hub.clone(), listener.clone()));
+        Gate { wanted, listener, accepting }
+    }
+
+    /// A listener at this address: that of an old gate where it is the same.
+    fn listener(old: Option<&Gate>, wanted: SocketAddr) -> Result<Rc<TcpListener>, String> {
+        match old.filter(|gate| gate.wanted == wanted) {
+            Some(gate) => Ok(gate.listener.clone()),
             None => listen(wanted).map(Rc::new),
         }
     }
 
-    /// Takes the place of an old door, which accepts nothing more.
-    fn replace(self, old: &mut Option<Door>) {
+    /// Takes the place of an old gate, which accepts nothing more.
+    fn replace(self, old: &mut Option<Gate>) {
         if let Some(old) = old.replace(self) {
             old.accepting.abort();
         }
@@ -143,35 +152,43 @@
     hub: Rc<Hub>,
     sources: Sources,
     store: Option<StoreConfig>,
-    platform: Option<Door>,
-    irc: Option<Door>,
+    platform: Option<Gate>,
+    irc: Option<Gate>,
+    mgmt: Option<Gate>,
 }
 
 impl Daemon {
     /// Reads the configuration again and puts it in place at one go. Danger: what fails may come only before
     /// the first change, or half of a configuration would be in force.
     fn reload(&mut self) -> Result<(), String> {
-        let Config { platform, irc, store, budget } = self.sources.read()?;
+        let Config { platform, irc, mgmt, store, budget } = self.sources.read()?;
         let fixed = |store: &Option<StoreConfig>| {
             store.clone().map(|store| StoreConfig { peers: Vec::new(), ..store })
         };
         if fixed(&store) != fixed(&self.store) {
             return Err("store: only its peers may change without a restart".to_owned());
         }
-        let bind = |old: &Option<Door>, wanted| Door::listener(old.as_ref(), wanted);
+        let bind = |old: &Option<Gate>, wanted| Gate::listener(old.as_ref(), wanted);
         let shop = platform.map(|p| bind(&self.platform, p.listen).map(|at| (p, at))).transpose()?;
         let irc = irc.map(|irc| bind(&self.irc, irc.listen).map(|at| (irc, at))).transpose()?;
+        let door = mgmt.map(|mgmt| bind(&self.mgmt, mgmt).map(|at| (mgmt, at))).transpose()?;
 
         let pools =
             shop.iter().map(|(p, _)| p.pool.clone()).chain(irc.iter().map(|(irc, _)| irc.pool.clone()));
         let peers = store.as_ref().map_or(Vec::new(), |store| store.peers.clone());
         self.store = store;
         self.hub.feed(Input::Configure { pools: pools.collect(), peers, budget });
+        match door {
+            // Callers that are there are not cut off.
+            Some((wanted, _)) if self.mgmt.as_ref().is_some_and(|old| old.wanted == wanted) => {}
+            Some((wanted, listener)) => Gate::door(&self.hub, wanted, listener).replace(&mut self.mgmt),
+            None => self.mgmt.take().map(|old| old.accepting.abort()).unwrap_or_default(),
+        }
         let mut pool = 0;
         if let Some((platform, listener)) = shop {
             let at = bound(&listener, platform.listen);
             crate::log!(info, "{} listens on {at}, as configured anew", platform.name);
-            Door::open(&self.hub, platform.listen, listener, pool, platform_makes())
+            Gate::open(&self.hub, platform.listen, listener, pool, platform_makes())
                 .replace(&mut self.platform);
             pool += 1;
         }
@@ -180,7 +197,7 @@
             irc.take_port(at);
             crate::log!(info, "{} listens on {at} for IRC, as configured anew", irc.setup.name);
             self.hub.feed(Input::Table { pool, whole: true, hosts: irc.hosts });
-            Door::open(&self.hub, irc.listen, listener, pool, irc_makes(irc.setup)).replace(&mut self.irc);
+            Gate::open(&self.hub, irc.listen, listener, pool, irc_makes(irc.setup)).replace(&mut self.irc);
         }
         Ok(())
     }
@@ -201,10 +218,11 @@
     let shop_at = config.platform.as_ref().map(|p| (p.name.clone(), p.listen));
     let mut irc_at = None;
     if let Some(irc) = &mut config.irc {
-        let listener = Door::listener(None, irc.listen)?;
+        let listener = Gate::listener(None, irc.listen)?;
         irc.take_port(bound(&listener, irc.listen));
         irc_at = Some((irc.setup.name.clone(), irc.listen, listener));
     }
+    let door = config.mgmt.map(|mgmt| Gate::listener(None, mgmt).map(|at| (mgmt, at))).transpose()?;
     let Fronts { hub, mut exit, platform: shop, irc } = Fronts::open(config, kept)?;
     *hub.recorder.borrow_mut() = recorder;
     if let Some(files) = files {
@@ -217,17 +235,19 @@
         crate::log!(info, "{} hears stores on {at}", store.node);
         hub.hear(socket);
     }
-    let mut daemon = Daemon { hub: hub.clone(), sources, store, platform: None, irc: None };
+    let mgmt = door.map(|(wanted, listener)| Gate::door(&hub, wanted, listener));
+    let mut daemon = Daemon { hub: hub.clone(), sources, store, platform: None, irc: None, mgmt };
     if let (Some((pool, makes)), Some((name, wanted)), Some((discovery, from))) = (shop, shop_at, watch) {
         hub.watch(pool, discovery, Some(from));
-        let listener = Door::listener(None, wanted)?;
+        let listener = Gate::listener(None, wanted)?;
         crate::log!(info, "{name} listens on {}", bound(&listener, wanted));
-        daemon.platform = Some(Door::open(&hub, wanted, listener, pool, makes));
+        daemon.platform = Some(Gate::open(&hub, wanted, listener, pool, makes));
     }
     if let (Some((pool, makes)), Some((name, wanted, listener))) = (irc, irc_at) {
         crate::log!(info, "{name} listens on {} for IRC", bound(&listener, wanted));
-        daemon.irc = Some(Door::open(&hub, wanted, listener, pool, makes));
+        daemon.irc = Some(Gate::open(&hub, wanted, listener, pool, makes));
     }
+    hub.feed(Input::Listening);
     tokio::task::spawn_local(hub.clone().keep_time());
     loop {
         tokio::select! {
@@ -247,15 +267,27 @@
 }
 
 async fn accept(hub: Rc<Hub>, listener: Rc<TcpListener>, pool: usize, makes: Makes) {
+    let take = async |stream| {
+        connection::start(&hub, pool, stream, makes());
+        // Danger: where many come at once, none may be judged before its first line could be read.
+        tokio::task::yield_now().await;
+    };
+    accept_each(&listener, async || hub.open_doors().await, take).await;
+}
+
+/// Takes connections for ever, each when the gate is open.
+async fn accept_each(
+    listener: &TcpListener,
+    gate: impl AsyncFn(),
+    mut take: impl AsyncFnMut(tokio::net::TcpStream),
+) {
     let mut pause = LEAST_PAUSE;
     loop {
-        hub.open_doors().await;
+        gate().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                connection::start(&hub, pool, stream, makes());
+                take(stream).await;
                 pause = LEAST_PAUSE;
-                // Danger: where many come at once, none may be judged before its first line could be read.
-                tokio::task::yield_now().await;
             }
             Err(error) => {
                 // Danger: with no descriptor free, accept fails at once, again and again.
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -34,16 +34,16 @@
     mut wanted: mpsc::Receiver<()>,
 ) {
     let mut line = None;
+    // Danger: the first call may not wait, or a balancer would be ready only when something happens.
+    let mut hold = Duration::ZERO;
     while wanted.recv().await.is_some() {
         // Once asked for, the watch goes on until a call fails; then the reducer says when to ask again.
         while wanted.try_recv().is_ok() {}
         loop {
-            let call = call(&mut line, discovery, generation);
-            // One that may not wait is answered at once.
-            let hold = if generation.is_some() { HOLD } else { Duration::ZERO };
+            let call = call(&mut line, discovery, generation.map(|generation| (generation, hold)));
             match timeout(hold + LATE, call).await.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
                 Ok(News { generation: new, whole, hosts }) => {
-                    generation = Some(new);
+                    (generation, hold) = (Some(new), HOLD);
                     hub.feed(Input::Table { pool, whole, hosts });
                 }
                 Err(problem) => {
@@ -59,14 +59,14 @@
 async fn call(
     line: &mut Option<Line>,
     discovery: SocketAddr,
-    generation: Option<u64>,
+    from: Option<(u64, Duration)>,
 ) -> Result<News, String> {
     let fresh = line.is_none();
-    match exchange(line, discovery, generation).await {
+    match exchange(line, discovery, from).await {
         // Danger: a kept connection may have been closed by discovery between two calls.
         Err(_) if !fresh => {
             *line = None;
-            exchange(line, discovery, generation).await
+            exchange(line, discovery, from).await
         }
         result => result,
     }
@@ -75,7 +75,7 @@
 async fn exchange(
     line: &mut Option<Line>,
     discovery: SocketAddr,
-    generation: Option<u64>,
+    from: Option<(u64, Duration)>,
 ) -> Result<News, String> {
     let broken = |e: std::io::Error| format!("discovery: {e}");
     if line.is_none() {
@@ -84,7 +84,7 @@
         *line = Some(Line { stream, read: Vec::new() });
     }
     let Some(open) = line.as_mut() else { return Err("no connection".to_owned()) };
-    let from = generation.map(|generation| (generation, HOLD.as_millis() as u64));
+    let from = from.map(|(generation, hold)| (generation, hold.as_millis() as u64));
     let request = http::call(&discovery.to_string(), from);
     open.stream.write_all(&request).await.map_err(broken)?;
     let answer = loop {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -51,7 +51,7 @@
 #[test]
 fn budgets_follow_from_the_limits() {
     for (sockets, memory_mb) in [(256, 32), (1024, 32), (1024, 192), (64, 8), (65_536, 16)] {
-        let budget = Limits { sockets, memory_mb }.budget();
+        let budget = Limits { sockets, memory_mb }.budget(true);
         let all = budget.waiting + 2 * budget.held;
         assert!(all + 20 <= sockets, "{budget:?} of {sockets}");
         assert!(all * budget.buffer <= memory_mb << 19, "{budget:?} of {memory_mb} MB");
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -1,4 +1,5 @@
 //! A reducer with hosts and a clock, for tests.
+#![allow(dead_code)]
 
 use sagemount::routing::*;
 use sagemount::*;
@@ -10,7 +11,7 @@
 pub const BUDGET: Budget = Budget { waiting: 100_000, held: 100_000, buffer: 8192 };
 
 pub struct Desk {
-    state: State,
+    pub state: State,
     pub now: Time,
     next: u64,
 }
@@ -22,11 +23,11 @@
 pub fn setup() -> PoolSetup {
     let class = Class { worth: 1.0, setup_aim: 300_000, message_aim: 100_000, repeat: Repeat::Safe };
     PoolSetup {
-        classes: vec!["chat".to_owned()],
+        classes: vec!["chat".to_owned(), "wallet".to_owned()],
         tenants: Vec::new(),
         zones: vec!["a".to_owned()],
         settings: Settings {
-            classes: vec![class],
+            classes: vec![class.clone(), class],
             max_attempts: 6,
             cancel: true,
             retry_after: true,
@@ -50,14 +51,29 @@
     }
 
     pub fn with(budget: Budget) -> Desk {
-        let now = Time(1_000_000_000);
-        let mut desk =
-            Desk { state: State::new(vec![setup()], StoreSetup::default(), budget, now), now, next: 0 };
-        let hosts = (0..HOSTS.len()).map(|host| desk.host(host, Lifecycle::Ready)).collect();
+        let mut desk = Desk::of(budget);
+        let hosts = desk.hosts();
         desk.put(Input::Table { pool: 0, whole: true, hosts });
         desk
     }
 
+    /// One that has heard of its hosts before its start only.
+    pub fn unready() -> Desk {
+        let mut desk = Desk::of(BUDGET);
+        let hosts = desk.hosts();
+        desk.put(Input::Known { pool: 0, hosts });
+        desk
+    }
+
+    fn of(budget: Budget) -> Desk {
+        let now = Time(1_000_000_000);
+        Desk { state: State::new(vec![setup()], StoreSetup::default(), budget, now), now, next: 0 }
+    }
+
+    fn hosts(&self) -> Vec<IssuerHost> {
+        (0..HOSTS.len()).map(|host| self.host(host, Lifecycle::Ready)).collect()
+    }
+
     pub fn address(&self, host: &str) -> String {
         format!("{host}:1")
     }
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,220 @@
+//! The operators' door: its calls, its figures, and how it stands crowds.
+
+mod desk;
+mod standins;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::net::Shutdown;
+
+use desk::{ask, Desk};
+use proptest::prelude::*;
+use sagemount::protocol::mgmt;
+use sagemount::routing::*;
+use standins::{irc_config, until, Client, Daemon, Manner, Server};
+
+fn call(desk: &mut Desk, call: Call) -> Reply {
+    let caller = CallerId(77);
+    match &desk.put(Input::Call { caller, call })[..] {
+        [Effect::Reply { caller: CallerId(77), reply }] => reply.clone(),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn figures(desk: &mut Desk) -> Figures {
+    match call(desk, Call::Telemetry) {
+        Reply::Figures(figures) => figures,
+        other => panic!("{other:?}"),
+    }
+}
+
+proptest! {
+    /// Counted again from outside, by what went in and came out, the figures are the same after any steps.
+    #[test]
+    fn figures_are_true(steps in prop::collection::vec((0u8..12, 0usize..8, 1u64..500_000), 1..200)) {
+        let mut desk = Desk::with(Budget { held: 12, ..desk::BUDGET });
+        let mut auths: Vec<(AuthId, &str)> = Vec::new();
+        let mut counts: BTreeMap<String, Counts> =
+            ["chat", "wallet"].map(|class| (class.to_owned(), Counts::default())).into();
+        // Taken and not ended; with which leg out, and whether that is written; standing.
+        let (mut open, mut legs) = (BTreeSet::new(), BTreeMap::<AuthId, (u32, bool)>::new());
+        let (mut standing, mut forwards) = (BTreeSet::new(), 0);
+        for (what, which, pause) in steps {
+            desk.pass(pause);
+            for tick in [true, false] {
+                let &(auth, _) = auths.get(which % auths.len().max(1)).unwrap_or(&(AuthId(u64::MAX), ""));
+                let (leg, written) = legs.get(&auth).copied().unwrap_or((9, true));
+                let out = legs.contains_key(&auth);
+                let mut ended = |end| {
+                    legs.remove(&auth);
+                    if standing.contains(&auth) {
+                        open.remove(&auth);
+                    }
+                    Input::LegEnded { auth, leg, end }
+                };
+                let input = match what {
+                    _ if tick => Input::Tick,
+                    0..=3 => {
+                        let class = ["chat", "wallet", "unheard-of", "chat"][usize::from(what)];
+                        let auth = desk.met();
+                        auths.push((auth, class));
+                        open.insert(auth);
+                        Input::Authorise { auth, ask: Authorisation { class: class.to_owned(), ..ask() } }
+                    }
+                    4 | 5 => {
+                        forwards += u64::from(out && !written);
+                        legs.entry(auth).and_modify(|leg| leg.1 = true);
+                        Input::LegWritten { auth, leg }
+                    }
+                    6 | 7 => {
+                        if out && standing.insert(auth) {
+                            let class = auths.iter().find(|(a, _)| *a == auth).map_or("", |(_, class)| class);
+                            counts.entry(class.to_owned()).and_modify(|counts| counts.succeeded += 1);
+                        }
+                        Input::LegUp { auth, leg }
+                    }
+                    8 => ended(LegEnd::TurnedAway),
+                    9 => ended(LegEnd::Broken),
+                    10 => {
+                        open.remove(&auth);
+                        Input::Left { auth }
+                    }
+                    _ if which == 0 => Input::Leave,
+                    _ => Input::TableLost { pool: 0 },
+                };
+                for effect in desk.put(input) {
+                    match effect {
+                        Effect::OpenLeg { auth, leg, .. } => drop(legs.insert(auth, (leg, false))),
+                        Effect::CloseLeg { auth } => drop(legs.remove(&auth)),
+                        Effect::Answer { auth, answer } => {
+                            open.remove(&auth);
+                            let class = auths.iter().find(|(a, _)| *a == auth).map_or("", |(_, class)| class);
+                            if let Some(counts) = counts.get_mut(class) {
+                                counts.declined += u64::from(matches!(answer, Answer::Refused(_)));
+                                counts.aborted += u64::from(answer == Answer::Failed);
+                            }
+                        }
+                        _ => {}
+                    }
+                }
+                let told = figures(&mut desk);
+                prop_assert_eq!(&told.classes, &counts);
+                prop_assert_eq!((told.forwards, told.outstanding), (forwards, open.len() as u64));
+                prop_assert_eq!(told.discovered, 5);
+            }
+        }
+    }
+
+    /// Whatever is said at the door, there is an answer to it, or it is no call yet.
+    #[test]
+    fn no_line_breaks_the_door(line in prop::collection::vec(any::<u8>(), 0..300)) {
+        let told = mgmt::call(&line);
+        prop_assert!(told.is_err() || line == b"readyz" || line == b"telemetry", "{told:?}");
+    }
+}
+
+#[test]
+fn figures_have_the_names_and_the_form_that_are_agreed() {
+    let mut desk = Desk::new();
+    let text = |desk: &mut Desk| String::from_utf8(mgmt::reply(&call(desk, Call::Telemetry))).unwrap();
+    let classes = "edge_node.results.chat.succeeded:0|c\r\nedge_node.results.chat.declined:0|c\r\n\
+        edge_node.results.chat.aborted:0|c\r\nedge_node.results.wallet.succeeded:0|c\r\n\
+        edge_node.results.wallet.declined:0|c\r\nedge_node.results.wallet.aborted:0|c\r\n";
+    let rest = "edge_node.forwards:0|c\r\nedge_node.outstanding:0|g\r\nedge_node.discovered:5|g\r\n\
+        edge_node.ejected:0|g\r\nEND\r\n";
+    assert_eq!(text(&mut desk), format!("{classes}{rest}"));
+    desk.standing();
+    let told = text(&mut desk);
+    assert!(told.contains("edge_node.results.chat.succeeded:1|c\r\n"), "{told}");
+    assert!(told.contains("edge_node.outstanding:1|g\r\n"), "{told}");
+}
+
+/// A host that breaks legs is avoided for a while, and only so long.
+#[test]
+fn ejected_is_what_the_pick_avoids_now() {
+    let mut desk = Desk::new();
+    let (auth, _) = desk.written();
+    desk.put(Input::LegEnded { auth, leg: 0, end: LegEnd::Broken });
+    assert_eq!(figures(&mut desk).ejected, 1);
+    desk.pass(60_000_000);
+    assert_eq!(figures(&mut desk).ejected, 0);
+}
+
+#[test]
+fn it_is_ready_with_its_list_and_its_listeners_and_not_while_it_leaves() {
+    let mut desk = Desk::unready();
+    assert!(matches!(call(&mut desk, Call::Ready), Reply::No(_)), "nothing listens");
+    desk.put(Input::Listening);
+    assert!(matches!(call(&mut desk, Call::Ready), Reply::No(_)), "the list may be old");
+    // Danger: with discovery down nobody would ever be ready.
+    desk.pass(3_000_000);
+    assert_eq!(call(&mut desk, Call::Ready), Reply::Yes);
+    let mut desk = Desk::unready();
+    desk.put(Input::Listening);
+    desk.put(Input::Table { pool: 0, whole: false, hosts: Vec::new() });
+    assert_eq!(call(&mut desk, Call::Ready), Reply::Yes);
+    desk.put(Input::Leave);
+    assert!(matches!(call(&mut desk, Call::Ready), Reply::No(_)));
+}
+
+fn front(more: &str) -> Daemon {
+    let host = Server::start(Manner::Welcome);
+    Daemon::start(&irc_config(&[&host], &format!(", \"mgmt\": \"127.0.0.1:0\" {more}")), None)
+}
+
+fn asked(mgmt: &str, call: &str) -> String {
+    let mut caller = Client::connect(mgmt);
+    caller.say(call);
+    caller.rest()
+}
+
+/// Danger: some callers say nothing, or half of a call, and stay; and they may be many.
+#[test]
+fn silent_and_half_callers_are_in_nobodys_way_and_are_let_go() {
+    let daemon = front("");
+    let mut stuck: Vec<Client> = (0..60).map(|_| Client::connect(&daemon.mgmt)).collect();
+    for caller in stuck.iter_mut().step_by(2) {
+        // Of those that were let go already nobody reads.
+        let _ = caller.stream.write_all(b"read");
+    }
+    assert_eq!(asked(&daemon.mgmt, "readyz"), "YES\r\n");
+    assert!(asked(&daemon.mgmt, "telemetry").ends_with("END\r\n"));
+    for caller in &mut stuck {
+        let told = caller.rest();
+        assert!(told.is_empty() || told.starts_with("NO "), "{told}");
+    }
+}
+
+#[test]
+fn bad_calls_are_told_no_with_a_reason_and_pieces_are_put_together() {
+    let daemon = front("");
+    for bad in ["", "readyz now", "READYZ", "GET / HTTP/1.1", &"x".repeat(5000)] {
+        let told = asked(&daemon.mgmt, bad);
+        assert!(told.starts_with("NO ") && told.len() > 5, "{bad}: {told}");
+    }
+    let mut caller = Client::connect(&daemon.mgmt);
+    for piece in ["re", "ady", "z\r", "\n"] {
+        caller.stream.write_all(piece.as_bytes()).expect("written");
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    assert_eq!(caller.rest(), "YES\r\n");
+    // What is cut off may have meant anything.
+    let mut caller = Client::connect(&daemon.mgmt);
+    caller.stream.write_all(b"readyz").expect("written");
+    caller.stream.shutdown(Shutdown::Write).expect("ended");
+    assert!(caller.rest().starts_with("NO "));
+}
+
+#[test]
+fn a_reload_may_move_the_door() {
+    let daemon = front("");
+    let host = Server::start(Manner::Welcome);
+    let again = |more: &str| daemon.reload("irc.json", &irc_config(&[&host], more));
+    again(", \"mgmt\": \"127.0.0.2:0\"");
+    let line = daemon.log_line("operators are heard on 127.0.0.2:");
+    let moved = line.rsplit(' ').next().expect("an address");
+    assert_eq!(asked(moved, "readyz"), "YES\r\n");
+    until("the old door is shut", || std::net::TcpStream::connect(&daemon.mgmt).is_err());
+    again("");
+    until("no door is left", || std::net::TcpStream::connect(moved).is_err());
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -298,10 +298,10 @@
 /// tell counts as told after 6 s: a host that drained meanwhile would have been sent more.
 #[test]
 fn a_watch_that_falls_silent_is_given_up_before_its_news_count_as_told() {
-    let (at, calls) = discovery(Vec::new());
+    let (at, calls) = discovery(vec![(200, list(1, false, &[]))]);
     let _daemon = daemon(at, &list(1, true, &[]));
-    until("it is asked again", || calls.lock().unwrap().len() == 2);
+    until("it is asked again", || calls.lock().unwrap().len() == 3);
     let calls = calls.lock().unwrap().clone();
-    assert!(calls[1].0 - calls[0].0 < Duration::from_secs(9), "it is late by more than a busy machine");
-    assert!(calls[1].1.contains("?from=1&hold_ms=4000 "), "{}", calls[1].1);
+    assert!(calls[2].0 - calls[1].0 < Duration::from_secs(9), "it is late by more than a busy machine");
+    assert!(calls[2].1.contains("?from=1&hold_ms=4000 "), "{}", calls[2].1);
 }
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -127,6 +127,7 @@
     pub irc: String,
     pub platform: String,
     pub store: String,
+    pub mgmt: String,
     folder: PathBuf,
 }
 
@@ -148,7 +149,13 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         std::fs::write(folder.join("irc.json"), irc).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_sagemount"));
-        command.arg("serve").arg("--irc").arg(folder.join("irc.json")).args(more).env_remove("NODE_CONFIG");
+        command
+            .arg("serve")
+            .arg("--irc")
+            .arg(folder.join("irc.json"))
+            .args(more)
+            .env_remove("NODE_CONFIG")
+            .env_remove("NODE_MGMT");
         if let Some(platform) = platform {
             std::fs::write(folder.join("config.json"), platform).expect("written");
             command.arg("--config").arg(folder.join("config.json"));
@@ -157,8 +164,15 @@
         let reader = BufReader::new(child.stderr.take().expect("a log"));
         let (sender, log) = channel();
         std::thread::spawn(move || reader.lines().map_while(Result::ok).for_each(|l| drop(sender.send(l))));
-        let mut daemon =
-            Daemon { child, log, irc: String::new(), platform: String::new(), store: String::new(), folder };
+        let mut daemon = Daemon {
+            child,
+            log,
+            irc: String::new(),
+            platform: String::new(),
+            store: String::new(),
+            mgmt: String::new(),
+            folder,
+        };
         while daemon.irc.is_empty() {
             let line = daemon.log_line("");
             let word = |mark: &str| {
@@ -167,6 +181,8 @@
             };
             if let Some(at) = word("hears stores on ") {
                 daemon.store = at;
+            } else if let Some(at) = word("operators are heard on ") {
+                daemon.mgmt = at;
             } else if let Some(at) = word("listens on ") {
                 *if line.ends_with("for IRC") { &mut daemon.irc } else { &mut daemon.platform } = at;
             }
