--- a/src/program/commands.rs
+++ b/src/program/commands.rs
@@ -21,7 +21,10 @@
     Serve(Serve),
     Check(Check),
     Replay(Replay),
-    Drain(Drain),
+    Exclude(Exclude),
+    Include(Include),
+    Readyz(Readyz),
+    Telemetry(Telemetry),
     Set(Set),
     Version(Version),
 }
@@ -74,22 +77,49 @@
     port: Option<u16>,
 }
 
-/// Have an issuer host drained: written at one node's store, it takes effect at all of them.
+/// Take an issuer host out, whatever any list says, until it is included again.
 #[derive(FromArgs)]
-#[argh(subcommand, name = "drain")]
-struct Drain {
+#[argh(subcommand, name = "exclude")]
+struct Exclude {
     /// name of the issuer host
     #[argh(positional)]
     host: String,
-    /// address of any node's store on this machine
+    /// address of a balancer's operators' door (default: $NODE_MGMT)
     #[argh(option)]
-    store: std::net::SocketAddr,
-    /// take the host back into use
-    #[argh(switch)]
-    undo: bool,
+    mgmt: Option<String>,
+}
+
+/// Use an issuer host again that was excluded.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "include")]
+struct Include {
+    /// name of the issuer host
+    #[argh(positional)]
+    host: String,
+    /// address of a balancer's operators' door (default: $NODE_MGMT)
+    #[argh(option)]
+    mgmt: Option<String>,
+}
+
+/// Ask a balancer whether it can serve.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "readyz")]
+struct Readyz {
+    /// address of its operators' door (default: $NODE_MGMT)
+    #[argh(option)]
+    mgmt: Option<String>,
+}
+
+/// Ask a balancer for its figures.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "telemetry")]
+struct Telemetry {
+    /// address of its operators' door (default: $NODE_MGMT)
+    #[argh(option)]
+    mgmt: Option<String>,
 }
 
-/// Write a key of the store: host/NAME ("ADDRESS [ZONE [WEIGHT]]"), life/NAME (draining or gone) or
+/// Write a key of the store: host/NAME ("ADDRESS [ZONE [WEIGHT]]"), life/NAME (gone) or
 /// limit/connections (a number). Written at one node, it takes effect at all of them.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "set")]
@@ -110,9 +140,24 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
+fn mgmt_of_environment() -> Option<String> {
+    std::env::var("NODE_MGMT").ok().filter(|text| !text.is_empty())
+}
+
+/// Makes a call at a balancer's door, and prints the answer.
+fn ask(mgmt: Option<String>, call: &str) -> Result<(), String> {
+    let mgmt = mgmt.or_else(mgmt_of_environment).ok_or("give --mgmt ADDRESS or set NODE_MGMT")?;
+    let answer = transport::ask(&mgmt, call)?;
+    print!("{}", answer.replace('\r', ""));
+    if answer.starts_with("NO") {
+        return Err(format!("{call}: not done"));
+    }
+    Ok(())
+}
+
 fn sources(config: Option<PathBuf>, irc: Option<PathBuf>) -> Sources {
     let platform = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
-    Sources { platform, irc, mgmt: std::env::var("NODE_MGMT").ok().filter(|text| !text.is_empty()) }
+    Sources { platform, irc, mgmt: mgmt_of_environment() }
 }
 
 fn carry_out(command: Command) -> Result<(), String> {
@@ -139,13 +184,10 @@
             }
             Ok(())
         }
-        Command::Drain(drain) => {
-            let value = (!drain.undo).then(|| "draining".to_owned());
-            let entry = transport::write_at(drain.store, &format!("life/{}", drain.host), value)?;
-            let does = if drain.undo { "is back in use" } else { "drains" };
-            println!("{} {does}; written at node {} as {}", drain.host, entry.node, entry.counter);
-            Ok(())
-        }
+        Command::Exclude(Exclude { host, mgmt }) => ask(mgmt, &format!("exclude {host}")),
+        Command::Include(Include { host, mgmt }) => ask(mgmt, &format!("include {host}")),
+        Command::Readyz(Readyz { mgmt }) => ask(mgmt, "readyz"),
+        Command::Telemetry(Telemetry { mgmt }) => ask(mgmt, "telemetry"),
         Command::Set(set) => {
             config::store_entry(&set.key, set.value.as_deref())?;
             let entry = transport::write_at(set.store, &set.key, set.value)?;
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -367,8 +367,8 @@
             (sound && !name.is_empty(), "ADDRESS [ZONE [WEIGHT]] is wanted")
         }
         (Some(("life", name)), value) => {
-            let sound = value.is_none_or(|text| ["draining", "gone"].contains(&text));
-            (sound && !name.is_empty(), "draining or gone is wanted")
+            let sound = value.is_none_or(|text| text == "gone");
+            (sound && !name.is_empty(), "gone is wanted; to take a host out for a while, exclude it")
         }
         (Some(("limit", "connections")), value) => {
             (value.is_none_or(|text| text.parse::<usize>().is_ok()), "a number is wanted")
--- a/src/protocol/mgmt.rs
+++ b/src/protocol/mgmt.rs
@@ -2,8 +2,10 @@
 
 use std::fmt::Write;
 
-use winnow::combinator::alt;
+use winnow::ascii::space1;
+use winnow::combinator::{alt, preceded};
 use winnow::error::ContextError;
+use winnow::token::take_while;
 use winnow::Parser;
 
 use crate::routing::{Call, Figures, Reply};
@@ -11,11 +13,21 @@
 /// The longest call, its end included.
 pub const LONGEST_CALL: usize = 256;
 
+/// The longest name of a host.
+const LONGEST_NAME: usize = 128;
+
 /// Reads a call, without its line's end; or else says what is wrong with it.
 pub fn call(line: &[u8]) -> Result<Call, &'static str> {
-    let plain = alt((b"readyz".value(Call::Ready), b"telemetry".value(Call::Telemetry)));
-    let mut call = plain;
-    Parser::<_, _, ContextError>::parse(&mut call, line).map_err(|_| "readyz or telemetry is wanted")
+    let name = || take_while(1..=LONGEST_NAME, |b: u8| b.is_ascii_graphic());
+    let name = || name().verify_map(|name: &[u8]| String::from_utf8(name.to_vec()).ok());
+    let mut call = alt((
+        b"readyz".value(Call::Ready),
+        b"telemetry".value(Call::Telemetry),
+        preceded((b"exclude", space1), name()).map(Call::Exclude),
+        preceded((b"include", space1), name()).map(Call::Include),
+    ));
+    let parsed = Parser::<_, _, ContextError>::parse(&mut call, line);
+    parsed.map_err(|_| "readyz, telemetry, exclude ID or include ID is wanted")
 }
 
 /// A name as part of a figure's name, which ends at a colon and has no blanks.
--- a/src/routing/door.rs
+++ b/src/routing/door.rs
@@ -11,10 +11,34 @@
         let reply = match call {
             Call::Ready => self.readiness(now).map_or_else(|why| Reply::No(why.to_owned()), |()| Reply::Yes),
             Call::Telemetry => Reply::Figures(self.figures(now)),
+            Call::Exclude(host) => self.ban(now, host, true),
+            Call::Include(host) => self.ban(now, host, false),
         };
         self.effects.push(Effect::Reply { caller, reply });
     }
 
+    /// Takes a host out by hand, or back into use.
+    fn ban(&mut self, now: Time, host: String, out: bool) -> Reply {
+        if !self.ever_listed.contains(&host) && !self.pools.iter().any(|pool| pool.out.contains(&host)) {
+            return Reply::No(format!("no host {host} was ever listed"));
+        }
+        let key = format!("life/{host}");
+        if self.store.is_on() && out != self.store.get(&key).is_some() {
+            if !self.write(now, &key, out.then_some("draining")) {
+                return Reply::No("the store is full".to_owned());
+            }
+        } else if !self.store.is_on() && out != self.bans.contains(&host) {
+            let does = if out { "is out by hand" } else { "is in use again" };
+            self.effects.push(Effect::Log(format!("{host} {does}")));
+            match out {
+                true => drop(self.bans.insert(host)),
+                false => drop(self.bans.remove(&host)),
+            }
+            (0..self.pools.len()).for_each(|pool| self.refresh(now, pool));
+        }
+        Reply::Yes
+    }
+
     /// Whether this process can serve, or why not.
     fn readiness(&self, now: Time) -> Result<(), &'static str> {
         let waited = now.since(self.started) >= READY_WITHOUT;
@@ -47,7 +71,8 @@
             }
             figures.outstanding += pool.held as u64;
             figures.discovered += pool.table.hosts().count() as u64;
-            let avoided = pool.table.hosts().filter(|&host| pool.balancer.avoids(now, host));
+            let by_hand = |host| pool.table.any(host).is_some_and(|host| pool.out.contains(&host.name));
+            let avoided = pool.table.hosts().filter(|&host| by_hand(host) || pool.balancer.avoids(now, host));
             figures.ejected += avoided.count() as u64;
         }
         figures
--- a/src/routing/hosts.rs
+++ b/src/routing/hosts.rs
@@ -6,7 +6,13 @@
 use super::{
     stored_host, AuthId, Budget, Counts, Effect, IssuerHost, Lifecycle, Phase, PoolId, PoolSetup, State,
 };
-use crate::{Event, Outcome, ServerId, Time};
+use crate::{Event, Micros, Outcome, ServerId, Time};
+
+/// Where hosts that drain send their clients away by themselves, those of one that is out by hand are moved
+/// over this time: it does not know that it is about to go.
+const OUT_OVER: Micros = 1_200_000;
+/// Danger: where hosts come and go under ever new names, all that were ever listed would fill the memory.
+const MOST_NAMES: usize = 20_000;
 
 impl State {
     /// Another configuration takes the place of the old at one go. What is out, what stands and what was
@@ -49,7 +55,7 @@
         self.refresh(now, pool_id);
     }
 
-    /// Makes the routing table anew from what is listed and what the store says of it.
+    /// Makes the routing table anew from what is listed, what is out by hand and what the store says of it.
     pub(super) fn refresh(&mut self, now: Time, pool_id: PoolId) {
         let pool = &mut self.pools[pool_id];
         let mut hosts = pool.listed.clone();
@@ -57,25 +63,43 @@
             let added = self.store.under("host/").filter_map(|(name, text)| stored_host(name, text));
             hosts.extend(added.map(|host| (host.name.clone(), host)));
         }
-        for (name, text) in self.store.under("life/") {
+        if self.ever_listed.len() > MOST_NAMES {
+            self.ever_listed.clear();
+        }
+        self.ever_listed.extend(hosts.keys().cloned());
+        let mut out = self.bans.clone();
+        out.extend(self.store.under("life/").map(|(name, _)| name.to_owned()));
+        // Danger: a host that was out has mostly started again, and the list may not know that yet. Whatever
+        // was thought of it before is of no use, and it may not be filled faster than a cold one.
+        pool.returned.extend(pool.out.difference(&out).map(|name| (name.clone(), now)));
+        let warm_up = pool.setup.settings.warm_up;
+        pool.returned.retain(|name, at| now.since(*at) < warm_up && !out.contains(name));
+        for (name, &at) in &pool.returned {
+            hosts.entry(name.clone()).and_modify(|host| host.started = host.started.max(Some(at)));
+        }
+        for name in &out {
             // Only hosts of this balancer's own list may be used, and none that this list has leaving.
-            match (hosts.get_mut(name), text) {
-                (Some(host), "draining") => host.lifecycle = Lifecycle::Draining,
-                (Some(_), "gone") => drop(hosts.remove(name)),
+            match (hosts.get_mut(name), self.store.get(&format!("life/{name}"))) {
+                (Some(_), Some("gone")) => drop(hosts.remove(name)),
+                (Some(host), _) => host.lifecycle = Lifecycle::Draining,
                 _ => {}
             }
         }
+        pool.out = out;
         let listed = pool.table.follow(hosts.into_values(), &pool.setup.zones);
         self.tell(now, pool_id, Event::List(&listed));
-        let over = self.pools[pool_id].setup.drain_over;
         let leaving: Vec<_> = self.at.range((pool_id, ServerId(0))..=(pool_id, ServerId(u32::MAX))).collect();
         let table = &self.pools[pool_id].table;
         let held = leaving.into_iter().filter(|((_, host), _)| table.ready(*host).is_none());
         let held: Vec<(ServerId, AuthId)> =
             held.flat_map(|((_, host), auths)| auths.iter().map(|&auth| (*host, auth))).collect();
-        let mut draining: BTreeMap<ServerId, Vec<AuthId>> = BTreeMap::new();
+        let mut draining: BTreeMap<(ServerId, Micros), Vec<AuthId>> = BTreeMap::new();
         for (host, id) in held {
-            let gone = self.pools[pool_id].table.any(host).is_none();
+            let pool = &self.pools[pool_id];
+            let gone = pool.table.any(host).is_none();
+            let by_hand = pool.table.any(host).is_some_and(|host| pool.out.contains(&host.name));
+            let over = pool.setup.drain_over;
+            let over = if by_hand && over == 0 { OUT_OVER } else { over };
             let Some(auth) = self.auths.get(&id) else { continue };
             match (auth.phase, auth.leg) {
                 // Danger (drains): what is not written yet must not reach a host told to be leaving.
@@ -85,12 +109,12 @@
                 }
                 (Phase::Standing, _) if gone => self.move_away(now, id, Outcome::Reset),
                 (Phase::Standing, _) if over > 0 && auth.move_at.is_none() => {
-                    draining.entry(host).or_default().push(id)
+                    draining.entry((host, over)).or_default().push(id)
                 }
                 _ => {}
             }
         }
-        for standing in draining.into_values() {
+        for ((_, over), standing) in draining {
             self.move_over(now, &standing, 0, over);
         }
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -30,6 +30,10 @@
     counts: Vec<Counts>,
     /// The routing table has been told since the start.
     told: bool,
+    /// Hosts that are out by hand, or by the store's word.
+    out: BTreeSet<String>,
+    /// Hosts that were, and since when they are not any more.
+    returned: BTreeMap<String, Time>,
     balancer: Balancer,
     table: RoutingTable,
     /// The hosts as discovery or the operator's file lists them, before the store has its say.
@@ -91,6 +95,10 @@
     listening: bool,
     /// Legs written in full.
     forwards: u64,
+    /// Hosts out by hand, whatever any list says, where no store holds that.
+    bans: BTreeSet<String>,
+    /// Names of all hosts that were ever listed.
+    ever_listed: BTreeSet<String>,
     budget: Budget,
     /// Connections without a leg, and since when.
     waiting: BTreeMap<AuthId, Time>,
@@ -127,6 +135,8 @@
             listed: BTreeMap::new(),
             counts: vec![Counts::default(); setup.classes.len()],
             told: false,
+            out: BTreeSet::new(),
+            returned: BTreeMap::new(),
             held: 0,
             ids: BTreeSet::new(),
             wake: None,
@@ -141,6 +151,8 @@
             started: now,
             listening: false,
             forwards: 0,
+            bans: BTreeSet::new(),
+            ever_listed: BTreeSet::new(),
             budget,
             waiting: BTreeMap::new(),
             shut: None,
--- a/src/routing/sharing.rs
+++ b/src/routing/sharing.rs
@@ -31,17 +31,26 @@
             }
             // Danger: an operator's word is taken from this machine only.
             Gossip::Write { key, value } if from.ip().is_loopback() => {
-                let Some(entry) = self.store.write(&key, value.as_deref()) else { return };
-                let told = Gossip::Entry { key: key.clone(), entry: entry.clone() };
-                self.stored(now, key, entry);
-                self.effects.push(Effect::Tell((from, told.clone())));
-                // Others hear of it at once; where that is lost, digests find it out.
-                self.effects.extend(self.peers.iter().map(|&peer| Effect::Tell((peer, told.clone()))));
+                if self.write(now, &key, value.as_deref()) {
+                    let entry = self.store.entry(&key).cloned();
+                    let told = entry.map(|entry| Gossip::Entry { key, entry });
+                    self.effects.extend(told.map(|told| Effect::Tell((from, told))));
+                }
             }
             Gossip::Write { .. } => self.effects.push(Effect::Log(format!("write from {from} not taken"))),
         }
     }
 
+    /// Writes a key at this node, and tells the others.
+    pub(super) fn write(&mut self, now: Time, key: &str, value: Option<&str>) -> bool {
+        let Some(entry) = self.store.write(key, value) else { return false };
+        let told = Gossip::Entry { key: key.to_owned(), entry: entry.clone() };
+        self.stored(now, key.to_owned(), entry);
+        // Others hear of it at once; where that is lost, digests find it out.
+        self.effects.extend(self.peers.iter().map(|&peer| Effect::Tell((peer, told.clone()))));
+        true
+    }
+
     /// The store has news: they are kept, and take effect.
     pub(super) fn stored(&mut self, now: Time, key: String, entry: Entry) {
         let value = entry.value.as_deref().unwrap_or("nothing");
--- a/src/routing/store.rs
+++ b/src/routing/store.rs
@@ -73,6 +73,16 @@
         Store { node: node.to_owned(), ..Store::default() }
     }
 
+    /// Whether this node has a store at all.
+    pub fn is_on(&self) -> bool {
+        !self.node.is_empty()
+    }
+
+    /// A key's entry.
+    pub fn entry(&self, key: &str) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
     /// A key's value.
     pub fn get(&self, key: &str) -> Option<&str> {
         self.entries.get(key)?.value.as_deref()
--- a/src/routing/words.rs
+++ b/src/routing/words.rs
@@ -61,6 +61,10 @@
     Ready,
     /// The figures.
     Telemetry,
+    /// Take this issuer host out.
+    Exclude(String),
+    /// Use it again.
+    Include(String),
 }
 
 /// What an operator is told.
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -9,6 +9,7 @@
 mod replay;
 mod watch;
 
+use std::io::{Read, Write};
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
 use std::rc::Rc;
@@ -301,6 +302,20 @@
     }
 }
 
+/// Makes a call at an operators' door, and returns the answer.
+pub fn ask(mgmt: &str, call: &str) -> Result<String, String> {
+    let problem = |e: std::io::Error| format!("{mgmt}: {e}");
+    let mut stream = std::net::TcpStream::connect(mgmt).map_err(problem)?;
+    stream.set_read_timeout(Some(Duration::from_secs(2))).map_err(problem)?;
+    stream.write_all(format!("{call}\r\n").as_bytes()).map_err(problem)?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).map_err(problem)?;
+    if answer.is_empty() {
+        return Err(format!("{mgmt}: no answer"));
+    }
+    Ok(answer)
+}
+
 /// Writes a key at a node's store, and returns the entry that it made.
 pub fn write_at(store: SocketAddr, key: &str, value: Option<String>) -> Result<Entry, String> {
     let problem = |e: std::io::Error| format!("{store}: {e}");
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -73,7 +73,7 @@
     for (key, value) in [
         ("host/irc-3", Some("127.0.0.1:6667 dc-west 2")),
         ("host/irc-3", None),
-        ("life/irc-3", Some("draining")),
+        ("life/irc-3", Some("gone")),
         ("limit/connections", Some("12")),
     ] {
         assert_eq!(store_entry(key, value), Ok(()), "{key} {value:?}");
@@ -81,7 +81,7 @@
     for (key, value) in [
         ("host/irc-3", Some("irc.example:6667")),
         ("host/", None),
-        ("life/irc-3", Some("drainign")),
+        ("life/irc-3", Some("draining")),
         ("limit/connections", Some("-1")),
         ("limits", Some("1")),
     ] {
--- a/tests/irc.rs
+++ b/tests/irc.rs
@@ -106,7 +106,7 @@
 
 /// The operators' hard case: a server that sends PING while it drains.
 #[test]
-fn a_draining_host_still_pings_its_client_but_sees_nobody_new() {
+fn an_excluded_host_still_pings_its_client_but_sees_nobody_new() {
     let (old, new) = (Server::start(Manner::Welcome), Server::start(Manner::Welcome));
     let daemon = front(&[&old, &new], ", \"drain_over_ms\": 600000");
     let mut clients = Vec::new();
@@ -122,7 +122,7 @@
         let at = clients.iter().position(|(nick, _)| old.has(&format!("NICK {nick}"))).expect("one is there");
         &mut clients[at]
     };
-    daemon.drain("irc-0");
+    daemon.exclude("irc-0");
     std::thread::sleep(Duration::from_millis(250));
     let connected = old.streams.lock().unwrap().len();
     old.say("PING :still-there");
@@ -137,12 +137,12 @@
 }
 
 #[test]
-fn clients_of_a_draining_host_are_moved_politely_and_the_host_is_closed() {
+fn clients_of_an_excluded_host_are_moved_politely_and_the_host_is_closed() {
     let old = Server::start(Manner::Welcome);
     let daemon = front(&[&old], ", \"drain_over_ms\": 200");
     let mut client = Client::register(&daemon.irc, "ida");
     client.expect("001 ida");
-    daemon.drain("irc-0");
+    daemon.exclude("irc-0");
     client.expect(":front.test NOTICE ida :Your server is leaving");
     let port = daemon.irc.rsplit(':').next().expect("a port");
     let bounce = format!(":front.test 010 ida 127.0.0.1 {port} :Please use this Server/Port instead\r\n");
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -14,13 +14,16 @@
 use standins::{irc_config, until, Client, Daemon, Manner, Server};
 
 fn call(desk: &mut Desk, call: Call) -> Reply {
-    let caller = CallerId(77);
-    match &desk.put(Input::Call { caller, call })[..] {
-        [Effect::Reply { caller: CallerId(77), reply }] => reply.clone(),
+    match call_with(desk, call).pop() {
+        Some(Effect::Reply { caller: CallerId(77), reply }) => reply,
         other => panic!("{other:?}"),
     }
 }
 
+fn call_with(desk: &mut Desk, call: Call) -> Vec<Effect> {
+    desk.put(Input::Call { caller: CallerId(77), call })
+}
+
 fn figures(desk: &mut Desk) -> Figures {
     match call(desk, Call::Telemetry) {
         Reply::Figures(figures) => figures,
@@ -105,11 +108,67 @@
         }
     }
 
+    /// Whatever a list, a reload or a repeated call says: nothing new goes to a host that is out by hand, what
+    /// was not written to it yet is closed, and one call back ends it.
+    #[test]
+    fn a_ban_holds_until_the_call_back(steps in prop::collection::vec((0u8..9, 0usize..5, 1u64..400_000), 1..150)) {
+        let mut desk = Desk::new();
+        let (mut out, mut legs) = (BTreeSet::new(), BTreeMap::<AuthId, (u32, String, bool)>::new());
+        for (what, host, pause) in steps {
+            desk.pass(pause);
+            let name = desk::HOSTS[host].to_owned();
+            let auth = legs.keys().nth(host).copied().unwrap_or(AuthId(u64::MAX));
+            let leg = legs.get(&auth).map_or(9, |leg| leg.0);
+            let effects = match what {
+                0 => {
+                    out.insert(desk.address(&name));
+                    call_with(&mut desk, Call::Exclude(name))
+                }
+                1 => {
+                    out.remove(&desk.address(&name));
+                    call_with(&mut desk, Call::Include(name))
+                }
+                2 => desk.list(host, Lifecycle::Gone),
+                3 => desk.list(host, Lifecycle::Ready),
+                4 => {
+                    let (pools, peers, budget) = (vec![desk::setup()], Vec::new(), desk::BUDGET);
+                    desk.put(Input::Configure { pools, peers, budget })
+                }
+                5 => {
+                    legs.entry(auth).and_modify(|leg| leg.2 = true);
+                    desk.put(Input::LegWritten { auth, leg })
+                }
+                6 => {
+                    legs.remove(&auth);
+                    desk.put(Input::LegEnded { auth, leg, end: LegEnd::TurnedAway })
+                }
+                _ => {
+                    let auth = desk.met();
+                    desk.put(Input::Authorise { auth, ask: ask() })
+                }
+            };
+            for effect in effects {
+                match effect {
+                    Effect::OpenLeg { auth, leg, address, .. } => {
+                        prop_assert!(!out.contains(&address), "a leg to {address}, which is out by hand");
+                        legs.insert(auth, (leg, address, false));
+                    }
+                    Effect::CloseLeg { auth } | Effect::Answer { auth, .. } => drop(legs.remove(&auth)),
+                    _ => {}
+                }
+            }
+            for (_, address, written) in legs.values() {
+                prop_assert!(*written || !out.contains(address), "a leg to {address} may still be written");
+            }
+        }
+    }
+
     /// Whatever is said at the door, there is an answer to it, or it is no call yet.
     #[test]
     fn no_line_breaks_the_door(line in prop::collection::vec(any::<u8>(), 0..300)) {
         let told = mgmt::call(&line);
-        prop_assert!(told.is_err() || line == b"readyz" || line == b"telemetry", "{told:?}");
+        let known: [&[u8]; 4] = [b"readyz", b"telemetry", b"exclude ", b"include "];
+        prop_assert!(told.is_err() || known.iter().any(|call| line.starts_with(call)), "{told:?}");
     }
 }
 
@@ -157,9 +216,88 @@
     assert!(matches!(call(&mut desk, Call::Ready), Reply::No(_)));
 }
 
+#[test]
+fn a_host_is_taken_out_and_back_by_id_and_only_one_that_was_ever_listed() {
+    let mut desk = Desk::new();
+    let host = desk::HOSTS[1].to_owned();
+    let unheard = "s-0000dead".to_owned();
+    for call_of in [Call::Exclude, Call::Include] {
+        assert!(matches!(call(&mut desk, call_of(unheard.clone())), Reply::No(_)));
+    }
+    for _ in 0..3 {
+        assert_eq!(call_with(&mut desk, Call::Exclude(host.clone())).pop(), Some(reply_yes()));
+        assert_eq!(figures(&mut desk).ejected, 1);
+    }
+    // It is known by its id even while it is gone.
+    desk.list(1, Lifecycle::Gone);
+    assert_eq!(call(&mut desk, Call::Exclude(host.clone())), Reply::Yes);
+    desk.list(1, Lifecycle::Ready);
+    assert_eq!(figures(&mut desk).ejected, 1, "no list lifts a ban");
+    assert_eq!(call(&mut desk, Call::Include(host)), Reply::Yes);
+    assert_eq!(figures(&mut desk).ejected, 0, "one call back ends any number of calls out");
+}
+
+fn reply_yes() -> Effect {
+    Effect::Reply { caller: CallerId(77), reply: Reply::Yes }
+}
+
+/// Seen on the bench: hosts out by hand start again 1.5 s later, and who is still there is cut off.
+#[test]
+fn clients_of_a_host_out_by_hand_are_moved_in_pace_and_soon() {
+    let mut desk = Desk::new();
+    let auths: Vec<AuthId> = (0..60).map(|_| desk.standing()).collect();
+    let host = desk::HOSTS[2].to_owned();
+    let (mut moved, mut waves) = (BTreeSet::new(), 0);
+    let mut effects = call_with(&mut desk, Call::Exclude(host));
+    for _ in 0..15 {
+        let before = moved.len();
+        moved.extend(effects.iter().filter_map(|effect| match effect {
+            Effect::Answer { auth, answer: Answer::Moved } => Some(*auth),
+            _ => None,
+        }));
+        waves += usize::from(moved.len() > before);
+        desk.pass(100_000);
+        effects = desk.put(Input::Tick);
+    }
+    assert!(moved.len() > 4 && moved.len() < auths.len(), "{} moved", moved.len());
+    assert!(waves > 3, "all in {waves} waves");
+}
+
+/// The host comes back as another process, cold: what was thought of it before does not count, and it is
+/// filled no faster than a cold one, though the list may not know yet that it started again.
+#[test]
+fn a_host_taken_back_is_used_soon_and_as_a_cold_one() {
+    let mut desk = Desk::new();
+    for _ in 0..60 {
+        desk.standing();
+    }
+    let (host, address) = (desk::HOSTS[2].to_owned(), desk.address(desk::HOSTS[2]));
+    let legs = |desk: &mut Desk, count: usize| {
+        let mut there = 0;
+        for _ in 0..count {
+            desk.pass(50_000);
+            let auth = desk.met();
+            let effects = desk.put(Input::Authorise { auth, ask: ask() });
+            there += effects
+                .iter()
+                .filter(|effect| matches!(effect, Effect::OpenLeg { address: at, .. } if *at == address))
+                .count();
+            desk.put(Input::LegWritten { auth, leg: 0 });
+            desk.put(Input::LegUp { auth, leg: 0 });
+        }
+        there
+    };
+    call(&mut desk, Call::Exclude(host.clone()));
+    assert_eq!(legs(&mut desk, 40), 0);
+    call(&mut desk, Call::Include(host));
+    let first = legs(&mut desk, 20);
+    assert!(first <= 8, "{first} of 20 in the first second: it is cold");
+    assert!(first + legs(&mut desk, 80) > 0, "unused for 5 s");
+}
+
 fn front(more: &str) -> Daemon {
     let host = Server::start(Manner::Welcome);
-    Daemon::start(&irc_config(&[&host], &format!(", \"mgmt\": \"127.0.0.1:0\" {more}")), None)
+    Daemon::start(&irc_config(&[&host], more), None)
 }
 
 fn asked(mgmt: &str, call: &str) -> String {
@@ -209,8 +347,10 @@
 fn a_reload_may_move_the_door() {
     let daemon = front("");
     let host = Server::start(Manner::Welcome);
-    let again = |more: &str| daemon.reload("irc.json", &irc_config(&[&host], more));
-    again(", \"mgmt\": \"127.0.0.2:0\"");
+    let again = |mgmt: &str| {
+        daemon.reload("irc.json", &irc_config(&[&host], "").replace("\"mgmt\": \"127.0.0.1:0\",", mgmt))
+    };
+    again("\"mgmt\": \"127.0.0.2:0\",");
     let line = daemon.log_line("operators are heard on 127.0.0.2:");
     let moved = line.rsplit(' ').next().expect("an address");
     assert_eq!(asked(moved, "readyz"), "YES\r\n");
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -207,8 +207,10 @@
         self.signal("-HUP");
     }
 
-    pub fn drain(&self, host: &str) {
-        self.command(&["drain", host]);
+    pub fn exclude(&self, host: &str) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_sagemount"));
+        let output = command.args(["exclude", host, "--mgmt", &self.mgmt]).output().expect("runs");
+        assert!(output.status.success(), "{output:?}");
     }
 
     /// Runs a command at this daemon's store.
@@ -305,7 +307,7 @@
     };
     let hosts: Vec<String> = hosts.iter().enumerate().map(host).collect();
     format!(
-        "{{\"listen\": \"127.0.0.1:0\", \"name\": \"front.test\", \"store\": {{\"node\": \"n1\", \
+        "{{\"listen\": \"127.0.0.1:0\", \"mgmt\": \"127.0.0.1:0\", \"name\": \"front.test\", \"store\": {{\"node\": \"n1\", \
          \"listen\": \"127.0.0.1:0\"}}, \"hosts\": [{}] {more}}}",
         hosts.join(", ")
     )
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -119,7 +119,7 @@
 }
 
 #[test]
-fn a_drain_at_one_daemon_takes_effect_at_the_other_and_outlives_it() {
+fn an_exclusion_at_one_daemon_takes_effect_at_the_other_and_outlives_it() {
     let server = Server::start(Manner::Welcome);
     // Loopback addresses of this process's own: daemons have to know each other's beforehand.
     let id = std::process::id();
@@ -127,7 +127,7 @@
     let data = std::env::temp_dir().join(format!("sagemount-store-{id}"));
     let config = |n: u32, peer: u32, more: &str| {
         format!(
-            r#"{{"listen": "127.0.0.1:0", "name": "front{n}.test", "drain_over_ms": 200,
+            r#"{{"listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "name": "front{n}.test", "drain_over_ms": 200,
                 "hosts": [{{"name": "irc-0", "address": "{}"}}],
                 "store": {{"node": "n{n}", "listen": "{}", "peers": ["{}"] {more}}}}}"#,
             server.address,
@@ -140,7 +140,7 @@
     let second = Daemon::start(&config(2, 1, ""), None);
     let mut client = Client::register(&second.irc, "rosa");
     client.expect("001 rosa");
-    first.drain("irc-0");
+    first.exclude("irc-0");
     client.expect(" 010 rosa ");
     Client::register(&first.irc, "rosa").expect(" 263 rosa ");
     // The one with a data folder knows it again; the other learns it from there.
