--- a/src/rules.rs
+++ b/src/rules.rs
@@ -162,6 +162,8 @@
     /// How long trouble counts as "lately": the time in which refused clients come again, longer by as much
     /// as less than a slot a server is held, at most a few times as long.
     lately: Micros,
+    /// The most slots ever held in all, and the most servers at a time.
+    most: (f64, f64),
     /// Loads as noted on open connections, of all and by class, and as hinted at arrivals.
     loads: Mean,
     class_loads: Vec<Mean>,
@@ -184,6 +186,7 @@
             list_failures: 0,
             probe_credit: 0.0,
             lately: settings.max_retry_after,
+            most: (0.0, 0.0),
             message_aim: settings.message_aim(),
             loads: Mean::default(),
             class_loads: vec![Mean::default(); settings.classes.len()],
@@ -207,7 +210,8 @@
             Event::ListFailed => self.list_failed(now),
             Event::Arrived { request, class, group, load, deadline, .. } => {
                 let slots = self.slots(class, load);
-                self.arrived(now, request, Request::new(class, group, slots), deadline, actions)
+                let due = Time(deadline.0 - deadline.since(now) / ANSWER_SHARE);
+                self.arrived(now, request, Request { due, ..Request::new(class, group, slots) }, actions)
             }
             Event::Open { request, class, group, load, server, .. } => {
                 let slots = self.slots(class, load);
@@ -219,7 +223,7 @@
             }
             Event::Noted { request, note } => self.noted(now, request, note, actions),
             Event::Ended { request, attempt, outcome, answered } => {
-                self.ended(now, request, attempt, outcome, answered, actions)
+                self.ended(now, request, attempt, (outcome, answered), actions)
             }
             Event::Left { request } => self.settle(request),
             Event::Wake => {}
@@ -333,8 +337,14 @@
         if let Note::MessageTime(took) = note {
             // Danger: worth is lost to slow messages long before a server refuses or drops.
             let late = took as f64 / self.message_aim.max(1) as f64;
-            if self.message_aim > 0 && late >= SLOW {
-                server.lower(now, 1.0 / (1.0 + late));
+            if self.message_aim > 0 {
+                // Each word measures what is held now. Danger: cut anew from the last cut, a ceiling would
+                // come to nothing while the work that had piled up is done, and stay there when it is.
+                let keep = if late >= SLOW { 1.0 / (1.0 + late) } else { 1.0 };
+                server.known.ceiling = server.held * keep;
+                if late >= SLOW {
+                    server.known.troubled = Some(now);
+                }
                 if late >= TOO_SLOW {
                     self.move_some(now, attempt.server, late, actions);
                 }
@@ -398,7 +408,9 @@
         };
         let mut best: Vec<_> = server.open.iter().filter_map(relief).collect();
         best.sort_by(|a, b| b.0.total_cmp(&a.0));
-        best.truncate(wanted.min(room / hot.len().max(1) as f64) as usize);
+        // Where messages are of no use to anybody, some who leave make them so again for the rest.
+        let least = if late < HOPELESS { 0.0 } else { few };
+        best.truncate(wanted.min(room / hot.len().max(1) as f64).max(least) as usize);
         for (_, request) in best {
             self.servers.entry(from).and_modify(|s| s.known.moved = Some(now));
             self.requests.entry(request).and_modify(|r| r.moved = true);
@@ -431,13 +443,13 @@
         }
     }
 
-    /// Danger (rule 4): a cold server shows all its slots free and would draw everything. Time between
-    /// sends to it, were it warm, such that it stands even if every balancer sends as much: it can hold at
-    /// least what the servers hold now on the mean, and is filled no faster than over its warm-up.
+    /// Danger (rule 4): a cold server shows all its slots free and would draw everything. Time between sends
+    /// to it, were it warm, such that it stands even if every balancer sends as much: it can hold at least
+    /// what all have held on the mean, and is filled no faster than over its warm-up. Danger: by what they
+    /// hold now it would be filled the slower the fewer the rest can take.
     fn cold_gap(&self) -> f64 {
-        let (held, count) = self.serving().fold((0.0, 0.0), |(h, n), s| (h + s.held, n + 1.0));
         let least = 1.0 / f64::from(self.settings.balancers.max(1));
-        let size = f64::max(least, held / f64::max(1.0, count));
+        let size = f64::max(least, self.most.0 / f64::max(1.0, self.most.1));
         self.settings.warm_up as f64 / (self.settings.fall_multiple * size * COLD_SAFETY).max(0.01)
     }
 
@@ -481,6 +493,7 @@
         let doubt = [0, 1].map(|own| self.rng.random_bool(trouble(known[own], bad[own])));
         lots.retain(|lot| !(lot.doubtful && doubt[usize::from(lot.own)]));
         // Danger: one of many balancers hears seldom of each server, and they all would try it again at once.
+        self.most = (self.most.0.max(held), self.most.1.max(all));
         self.lately = (self.settings.max_retry_after as f64 * (all / held).clamp(1.0, FEW)) as Micros;
         // Danger: ceilings rise with what is accepted. Were the own zone always first, all that returns at
         // once after a restart would end there; a few connections more than elsewhere are worth a crossing.
@@ -539,20 +552,12 @@
 
     // ---- Life of a request ----
 
-    fn arrived(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        request: Request,
-        deadline: Time,
-        actions: &mut Vec<Action>,
-    ) {
+    fn arrived(&mut self, now: Time, id: RequestId, request: Request, actions: &mut Vec<Action>) {
         if self.requests.contains_key(&id) {
             return;
         }
-        let due = Time(deadline.0 - deadline.since(now) / ANSWER_SHARE);
-        self.requests.insert(id, Request { due, ..request });
-        self.owed.insert((due, id));
+        self.owed.insert((request.due, id));
+        self.requests.insert(id, request);
         self.advance(now, id, actions);
     }
 
@@ -645,21 +650,14 @@
         self.settle(id);
     }
 
-    fn ended(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        number: u32,
-        outcome: Outcome,
-        answered: bool,
-        actions: &mut Vec<Action>,
-    ) {
+    fn ended(&mut self, now: Time, id: RequestId, n: u32, end: (Outcome, bool), actions: &mut Vec<Action>) {
+        let (outcome, answered) = end;
         if outcome == Outcome::Ok {
-            self.started(id, number);
+            self.started(id, n);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
         // Danger: a late or repeated outcome must not release a slot twice.
-        let Some(attempt) = request.out.filter(|a| a.number == number) else { return };
+        let Some(attempt) = request.out.filter(|a| a.number == n) else { return };
         request.out = None;
         request.failed_at = Some(attempt.server);
         let given_up = request.answered;
