--- /dev/null
+++ b/model/src/main.rs
@@ -0,0 +1,206 @@
+//! The model's command line.
+
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+
+use argh::FromArgs;
+use sagemount_model::day::play;
+use sagemount_model::grid::{days, moving, world as world_of, Cell, GROUPS, RATES, SESSIONS, TROUBLES};
+use sagemount_model::world::{self, Session, Trouble, World};
+
+/// Plays days of the model.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Grid(Grid),
+    Troubles(Troubles),
+    Day(Day),
+}
+
+/// Rebalancing off against on, over all cells of rate, store, trouble and groups, as a table.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "grid")]
+struct Grid {
+    /// pairs for each cell (default: 20)
+    #[argh(option, default = "20")]
+    seeds: u64,
+    /// first seed (default: 0)
+    #[argh(option, default = "0")]
+    from: u64,
+}
+
+/// Rebalancing off against on, for every trouble there is.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "troubles")]
+struct Troubles {
+    /// pairs for each cell (default: 20)
+    #[argh(option, default = "20")]
+    seeds: u64,
+    /// most moves a second (default: 2)
+    #[argh(option, default = "2.0")]
+    most: f64,
+    /// mean life of a connection in seconds (default: 40)
+    #[argh(option, default = "40.0")]
+    life: f64,
+    /// hosts do not tell how long messages take
+    #[argh(switch)]
+    silent: bool,
+    /// share of capacity that clients ask for (default: 0.72)
+    #[argh(option, default = "0.72")]
+    used: f64,
+}
+
+/// One day, second by second.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "day")]
+struct Day {
+    /// trouble, such as HostRestart
+    #[argh(positional)]
+    trouble: String,
+    /// seed (default: 0)
+    #[argh(option, default = "0")]
+    seed: u64,
+    /// share of capacity that clients ask for (default: 0.72)
+    #[argh(option, default = "0.72")]
+    used: f64,
+    /// most moves a second; 0 for moving off (default: 2)
+    #[argh(option, default = "2.0")]
+    most: f64,
+}
+
+/// Plays cells on all cores; the results in the order of the jobs.
+fn all<J: Sync, R: Send>(jobs: &[J], work: impl Fn(&J) -> R + Sync) -> Vec<R> {
+    let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..std::thread::available_parallelism().map_or(1, usize::from) {
+            scope.spawn(|| loop {
+                let n = next.fetch_add(1, Ordering::Relaxed);
+                let Some(job) = jobs.get(n) else { return };
+                let result = work(job);
+                done.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push((n, result));
+            });
+        }
+    });
+    let mut done = done.into_inner().unwrap_or_else(|poisoned| poisoned.into_inner());
+    done.sort_by_key(|(n, _)| *n);
+    done.into_iter().map(|(_, result)| result).collect()
+}
+
+fn row(name: &str, cell: &Cell) {
+    let verdict = match () {
+        () if !cell.broken.is_empty() => "RULE BROKEN",
+        () if !cell.harmless() => "WORSE",
+        () if cell.gain > cell.noise => "better",
+        () => "",
+    };
+    println!(
+        "| {name} | {:.4} | {:+.4} | {:.4} | {:.1} | {:.2} | {verdict} |",
+        cell.off,
+        cell.gain,
+        cell.noise,
+        cell.moves,
+        cell.per_minute * 1000.0
+    );
+    for broken in cell.broken.iter().take(3) {
+        println!("  {broken}");
+    }
+}
+
+fn head() {
+    println!("| cell | worth off | gain | noise | moves a day | per 1,000 connection-minutes | |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+}
+
+fn grid(line: &Grid) -> bool {
+    let seeds = line.from..line.from + line.seeds;
+    let mut jobs = Vec::new();
+    for groups in GROUPS {
+        for trouble in TROUBLES {
+            for session in SESSIONS {
+                jobs.push((world_of(groups), trouble, session));
+            }
+        }
+    }
+    let cells = all(&jobs, |(world, trouble, session)| {
+        let off = days(world, *trouble, *session, seeds.clone());
+        RATES.map(|rate| Cell::of(&off, &days(&moving(world, rate), *trouble, *session, seeds.clone())))
+    });
+    head();
+    let mut sound = true;
+    for ((world, trouble, session), cells) in jobs.iter().zip(&cells) {
+        for (rate, cell) in RATES.iter().zip(cells) {
+            row(&format!("{trouble:?}, {session:?}, groups to {}, at most {rate}", world.groups.1), cell);
+            sound &= cell.harmless() && cell.broken.is_empty();
+        }
+    }
+    let gains = cells.iter().flatten();
+    let worst = gains.map(|cell| cell.gain + cell.noise).fold(f64::INFINITY, f64::min);
+    println!("\nworst upper end of a gain: {worst:+.4}; {}", if sound { "sound" } else { "NOT SOUND" });
+    sound
+}
+
+fn troubles(line: &Troubles) -> bool {
+    let mut jobs = Vec::new();
+    for groups in GROUPS {
+        for trouble in world::TROUBLES {
+            let (tells_delay, used, life) = (!line.silent, line.used, (line.life, 1.0));
+            let world = World { tells_delay, used, life, ..world_of(groups) };
+            jobs.push((world, trouble));
+        }
+    }
+    let cells = all(&jobs, |(world, trouble)| {
+        let off = days(world, *trouble, Session::Normal, 0..line.seeds);
+        let on = days(&moving(world, line.most), *trouble, Session::Normal, 0..line.seeds);
+        Cell::of(&off, &on)
+    });
+    head();
+    for ((world, trouble), cell) in jobs.iter().zip(&cells) {
+        row(&format!("{trouble:?}, groups to {}", world.groups.1), cell);
+    }
+    cells.iter().all(|cell| cell.harmless() && cell.broken.is_empty())
+}
+
+fn day(line: &Day) -> bool {
+    let named = |trouble: &Trouble| format!("{trouble:?}").eq_ignore_ascii_case(&line.trouble);
+    let Some(trouble) = world::TROUBLES.into_iter().find(named) else {
+        eprintln!("no trouble is called {}: one of {:?} is wanted", line.trouble, world::TROUBLES);
+        return false;
+    };
+    let world = World { used: line.used, ..World::default() };
+    let world = if line.most > 0.0 { moving(&world, line.most) } else { world };
+    let result = play(&world, trouble, Session::Normal, line.seed);
+    for (second, (spread, rate)) in result.spread.iter().zip(&result.rates).enumerate() {
+        let quality = result.quality[second];
+        let hosts = result.hosts[second].iter().map(|(held, took)| format!("{held}/{took:.0}"));
+        let hosts = hosts.collect::<Vec<_>>().join(" ");
+        println!("{hosts}");
+        println!(
+            "{second:3} s  served {quality:.3}  spread {spread:.2}  rate {rate:.2}  {}",
+            result.holds[second]
+        );
+    }
+    println!("worth {:.4}, {} moves, {} for balance", result.worth, result.moves, result.for_balance);
+    println!("{} declined, broken {:?}", result.declined, result.broken);
+    result.broken.is_empty()
+}
+
+fn main() -> ExitCode {
+    let line: Line = argh::from_env();
+    let sound = match line.command {
+        Command::Grid(line) => grid(&line),
+        Command::Troubles(line) => troubles(&line),
+        Command::Day(line) => day(&line),
+    };
+    if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,6 +80,8 @@
 #[allow(missing_docs)]
 pub mod protocol;
 #[allow(missing_docs)]
+pub mod rebalance;
+#[allow(missing_docs)]
 pub mod routing;
 #[allow(missing_docs)]
 pub mod transport;
--- a/src/program/commands.rs
+++ b/src/program/commands.rs
@@ -39,6 +39,9 @@
     /// operator's file of the IRC front, such as deploy/irc.json (default: no IRC)
     #[argh(option)]
     irc: Option<PathBuf>,
+    /// operator's file on rebalancing, such as deploy/rebalance.json (default: nobody is moved for balance)
+    #[argh(option)]
+    rebalance: Option<PathBuf>,
     /// record what goes over the fronts' connections to this pcap file
     #[argh(option)]
     record: Option<PathBuf>,
@@ -57,6 +60,9 @@
     /// operator's file of the IRC front, such as deploy/irc.json (default: no IRC)
     #[argh(option)]
     irc: Option<PathBuf>,
+    /// operator's file on rebalancing, such as deploy/rebalance.json (default: nobody is moved for balance)
+    #[argh(option)]
+    rebalance: Option<PathBuf>,
 }
 
 /// Play the acquirer side's flows of a pcap file into a front, with loopback hosts only.
@@ -155,16 +161,16 @@
     Ok(())
 }
 
-fn sources(config: Option<PathBuf>, irc: Option<PathBuf>) -> Sources {
+fn sources(config: Option<PathBuf>, irc: Option<PathBuf>, rebalance: Option<PathBuf>) -> Sources {
     let platform = config.or_else(|| std::env::var_os("NODE_CONFIG").map(PathBuf::from));
-    Sources { platform, irc, mgmt: mgmt_of_environment() }
+    Sources { platform, irc, rebalance, mgmt: mgmt_of_environment() }
 }
 
 fn carry_out(command: Command) -> Result<(), String> {
     match command {
         Command::Serve(serve) => {
             let record = serve.record.as_deref().map(|path| (path, serve.record_mb << 20));
-            transport::serve(sources(serve.config, serve.irc), record)
+            transport::serve(sources(serve.config, serve.irc, serve.rebalance), record)
         }
         Command::Replay(replay) => {
             let config = match replay.front {
@@ -174,7 +180,7 @@
             transport::replay(&replay.file, config, replay.front, replay.port)
         }
         Command::Check(check) => {
-            let config = sources(check.config, check.irc).read()?;
+            let config = sources(check.config, check.irc, check.rebalance).read()?;
             if let Some(platform) = config.platform {
                 let hosts = platform.known.hosts.len();
                 println!("platform: sound; {} on {}, {hosts} hosts known", platform.name, platform.listen);
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given its defaults. What is wrong is told by
 //! the key that holds it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -10,7 +11,7 @@
 use crate::routing::store::LONGEST_NODE;
 use crate::routing::{stored_host, Budget, IssuerHost, Lifecycle, PoolSetup};
 use crate::transport::MOST_CALLERS;
-use crate::{Class, Micros, Repeat, Scope, Settings, Tenant, ZoneId};
+use crate::{rebalance, Class, Micros, Repeat, Scope, Settings, Tenant, ZoneId};
 
 /// The acquirer side of the platform has so long for its first line, which it sends at once. One that says
 /// nothing is to be closed within 3 s, the wait to be accepted included.
@@ -133,6 +134,8 @@
     pub platform: Option<PathBuf>,
     /// An operator's file.
     pub irc: Option<PathBuf>,
+    /// An operator's file on rebalancing.
+    pub rebalance: Option<PathBuf>,
     /// The operators' door where neither file names one.
     pub mgmt: Option<String>,
 }
@@ -145,7 +148,17 @@
                 |_| "NODE_MGMT: an address with a port is wanted, such as 127.0.0.1:19000".to_owned();
             text.parse().map_err(problem)
         });
-        read(self.platform.as_deref(), self.irc.as_deref(), mgmt.transpose()?)
+        let mut config = read(self.platform.as_deref(), self.irc.as_deref(), mgmt.transpose()?)?;
+        if let Some(path) = &self.rebalance {
+            let text = read_file(path)?;
+            let setups = parse_rebalance(&text).map_err(|fault| format!("{}: {fault}", path.display()))?;
+            let platform = config.platform.as_mut().map(|platform| &mut platform.pool);
+            let irc = config.irc.as_mut().map(|irc| &mut irc.pool);
+            for pool in platform.into_iter().chain(irc) {
+                pool.rebalance = setups.get(pool.name).copied().unwrap_or_default();
+            }
+        }
+        Ok(config)
     }
 }
 
@@ -310,12 +323,41 @@
             silence: 0,
             tells_delay: false,
             longest_wait: give_up,
+            rebalance: rebalance::Setup::default(),
         },
     };
     let mgmt = maybe_address(&root.at("mgmt"))?;
     Ok(Operator { irc, store: store(&root.at("store"))?, limits: Limits::read(&limits)?, mgmt })
 }
 
+/// Reads and checks the text of an operator's file on rebalancing: a part for each front, by its name.
+pub fn parse_rebalance(text: &[u8]) -> Result<BTreeMap<&'static str, rebalance::Setup>, Fault> {
+    let document = json::document(text)?;
+    let root = Place::root(&document);
+    let fronts = ["platform", "irc"];
+    root.only(&fronts)?;
+    let setup = |place: &Place<'_>| {
+        place.only(&["on", "most_per_s", "margin", "assumed_use"])?;
+        let default = rebalance::Setup::default();
+        let setup = rebalance::Setup {
+            on: place.at("on").flag(default.on)?,
+            most_per_s: place.at("most_per_s").number(default.most_per_s)?,
+            margin: place.at("margin").number(default.margin)?,
+            assumed_use: place.at("assumed_use").number(default.assumed_use)?,
+        };
+        let sound = [
+            ("most_per_s", setup.most_per_s > 0.0, "more than 0 is wanted; to move nobody set on to false"),
+            ("margin", setup.margin >= 1.0, "at least 1 is wanted: less moves clients at a loss"),
+            ("assumed_use", (0.1..=0.9).contains(&setup.assumed_use), "a share from 0.1 to 0.9 is wanted"),
+        ];
+        match sound.into_iter().find(|(_, sound, _)| !sound) {
+            Some((key, _, what)) => Err(place.at(key).fault(what)),
+            None => Ok(setup),
+        }
+    };
+    fronts.into_iter().map(|front| Ok((front, setup(&root.at(front))?))).collect()
+}
+
 fn store(place: &Place<'_>) -> Result<Option<StoreConfig>, Fault> {
     place.only(&["node", "listen", "peers", "data"])?;
     if !place.exists() {
@@ -403,6 +445,7 @@
         silence: PLATFORM_SILENCE,
         tells_delay: info.at("tells-delay").flag(false)?,
         longest_wait: 0,
+        rebalance: rebalance::Setup::default(),
     };
     let mut classes = Vec::new();
     let aims = info.at("message-aim").items()?;
--- a/src/protocol/handover.rs
+++ b/src/protocol/handover.rs
@@ -152,6 +152,10 @@
         load: maybe(number).parse_next(input)?,
         wait: None,
         standing_at: None,
+        // Not passed on, since the version before knows nothing of them: such a client is moved without being
+        // known again.
+        key: None,
+        again: false,
     })
 }
 
--- a/src/protocol/irc.rs
+++ b/src/protocol/irc.rs
@@ -200,7 +200,9 @@
             if said.nick.is_some() && said.user.is_some() && !said.negotiating {
                 self.phase = Phase::Placing;
                 let (class, tenant) = (self.setup.class.clone(), self.setup.tenant.clone());
-                steps.push(Step::Authorise(Authorisation { class, tenant, ..Authorisation::default() }));
+                // A tool that reconnects takes its nickname again.
+                let key = said.nick.as_deref().map(super::hashed);
+                steps.push(Step::Authorise(Authorisation { class, tenant, key, ..Authorisation::default() }));
             }
         }
     }
--- a/src/protocol/mgmt.rs
+++ b/src/protocol/mgmt.rs
@@ -51,6 +51,14 @@
     line("outstanding", figures.outstanding, "g");
     line("discovered", figures.discovered, "g");
     line("ejected", figures.ejected, "g");
+    for (front, moves) in &figures.rebalance {
+        let front = part(front);
+        line(&format!("rebalance.{front}.moved"), moves.moved, "c");
+        line(&format!("rebalance.{front}.returned"), moves.returned, "c");
+        line(&format!("rebalance.{front}.refused"), moves.refused, "c");
+        line(&format!("rebalance.{front}.rate_milli"), (moves.rate * 1000.0) as u64, "g");
+        line(&format!("rebalance.{front}.held"), moves.held.map_or(0, |held| held.code()), "g");
+    }
     out + "END\r\n"
 }
 
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -17,6 +17,14 @@
 /// The longest line of the platform's wire, CRLF included.
 pub const LONGEST_LINE: usize = 4096;
 
+/// By what a client is known when it comes again: a key as its wire has it, shortened. Two that are hashed
+/// alike are taken for one, which spoils a count.
+pub fn hashed(key: &[u8]) -> u64 {
+    let mut hasher = rustc_hash::FxHasher::default();
+    std::hash::Hasher::write(&mut hasher, key);
+    std::hash::Hasher::finish(&hasher)
+}
+
 /// What a front makes of the bytes that came, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -8,7 +8,7 @@
 use winnow::{ModalResult, Parser};
 
 use super::lines::{Cut, Lines, Measure, Relay};
-use super::{Front, Step, LONGEST_LINE};
+use super::{hashed, Front, Step, LONGEST_LINE};
 use crate::routing::{Answer, Authorisation, LegEnd};
 use crate::Micros;
 
@@ -18,7 +18,7 @@
     /// The front asks whether this balancer is there.
     Ping,
     /// A connection is wanted. `d` in the line is the piece between its parts.
-    Open { ask: Authorisation, before: Vec<u8>, after: Option<Vec<u8>> },
+    Open { ask: Box<Authorisation>, before: Vec<u8>, after: Option<Vec<u8>> },
 }
 
 /// A line of an issuer host.
@@ -51,18 +51,18 @@
     separated_pair(name, b'=', value).parse_next(input)
 }
 
-/// The id of `OPEN`, how much of the line is left from its list on, and the list.
-type Open<'a> = (&'a [u8], usize, Vec<(&'a [u8], &'a [u8])>);
+/// The id of `OPEN`, its flow's key, how much of the line is left from its list on, and the list.
+type Open<'a> = (&'a [u8], &'a [u8], usize, Vec<(&'a [u8], &'a [u8])>);
 
 fn open<'a>(input: &mut &'a [u8]) -> ModalResult<Open<'a>> {
-    let (_, id, _, _, _) = (b"OPEN ", name, b' ', name, b' ').parse_next(input)?;
+    let (_, id, _, key, _) = (b"OPEN ", name, b' ', name, b' ').parse_next(input)?;
     let list = input.len();
-    Ok((id, list, separated(1.., pair, b',').parse_next(input)?))
+    Ok((id, key, list, separated(1.., pair, b',').parse_next(input)?))
 }
 
 /// Reads a first line, without its end. Danger: what is not sound in all of its parts must reach no host.
 pub fn greeting(line: &[u8]) -> Option<Greeting> {
-    let (id, list, pairs) = match alt((b"PING".value(None), open.map(Some))).parse(line).ok()? {
+    let (id, key, list, pairs) = match alt((b"PING".value(None), open.map(Some))).parse(line).ok()? {
         None => return Some(Greeting::Ping),
         Some(open) => open,
     };
@@ -70,7 +70,7 @@
     let text = |value| String::from_utf8_lossy(value).into_owned();
     let number =
         |value| float::<_, f64, ContextError>.parse(value).ok().filter(|n| n.is_finite() && *n >= 0.0);
-    let mut ask = Authorisation { id: Some(text(id)), ..Authorisation::default() };
+    let mut ask = Authorisation { id: Some(text(id)), key: Some(hashed(key)), ..Authorisation::default() };
     // Danger: only the figure of `d` may change on its way; the rest has to stay as it came.
     let (mut before, mut after) = (line.to_vec(), None);
     for (n, &(name, value)) in pairs.iter().enumerate() {
@@ -82,6 +82,7 @@
             b"t" => ask.tenant = Some(text(value)).filter(|name| name != "0"),
             b"g" => ask.group = Some(hex_uint::<_, u64, ContextError>.parse(value).ok()?),
             b"h" => ask.load = Some(number(value)?),
+            b"again" => ask.again = value == b"1",
             b"at" => ask.standing_at = Some(text(value)).filter(|name| !name.is_empty()),
             b"d" => {
                 let from = at + name.len() + 1;
@@ -96,7 +97,7 @@
     }
     // Only one that stood already needs not say how long it waits.
     let waits = ask.wait.is_some() || ask.standing_at.is_some();
-    (waits && !ask.class.is_empty()).then_some(Greeting::Open { ask, before, after })
+    (waits && !ask.class.is_empty()).then_some(Greeting::Open { ask: Box::new(ask), before, after })
 }
 
 /// Reads a line of an issuer host.
@@ -157,7 +158,7 @@
                 Some(Greeting::Open { ask, before, after }) if self.acquirer.is_empty() => {
                     self.phase = Phase::Placing;
                     self.request = (before, after);
-                    steps.push(Step::Authorise(ask));
+                    steps.push(Step::Authorise(*ask));
                 }
                 _ => return self.wrong(steps),
             }
--- /dev/null
+++ b/src/rebalance/mod.rs
@@ -0,0 +1,353 @@
+//! Slow rebalancing: which standing connections are asked to come again so that load evens out, when, and how
+//! many. `docs/rebalancing.md` tells why.
+//!
+//! **What it does.** It is told what happens to connections and hosts ([`Rebalance::take`]) and, when its time has
+//! come ([`Rebalance::due`]), what the decision module knows of each host ([`Rebalance::evaluate`]). It answers with
+//! connections to move, and with ceilings that what it sees calls for: lower where a host holds more than its part,
+//! so that new connections go elsewhere at no cost, and higher where nothing is known of a host that has just
+//! started. Where connections go is decided by the module, by its own draw.
+//!
+//! **What it promises.** It moves nobody unless a host is pressed while another has room, unless the gain is a
+//! margin over the cost; no group is split; nothing is moved while something of [`World`] takes precedence, while
+//! set-ups are slow, or while earlier moves turn out badly. No client that came back from a move is moved
+//! again. Its maps are bounded by what stands, by the list, and by [`view::MOST_AWAY`].
+//!
+//! **What it may touch.** Nothing: no clock, no sockets, no files, no chance but its own seeded one. The reducer
+//! (`src/routing/`) owns one for each pool and carries out what it answers.
+
+pub mod gain;
+pub mod order;
+pub mod precedence;
+pub mod rate;
+pub mod view;
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::routing::AuthId;
+use crate::{Micros, ServerId, Time};
+
+pub use precedence::{Held, World};
+use rate::Rate;
+use view::{Connection, View};
+
+/// Between two evaluations, give or take a fifth: balancers must not act in step.
+const EVALUATE: Micros = 500_000;
+/// A host that was filled by moves so lately gives up nothing unless it is pressed by measurement.
+const FILLED: Micros = 10_000_000;
+/// A host that started longer ago than this has shown what it bears.
+const FRESH: Micros = 60_000_000;
+/// A ceiling of which nothing is known is raised to this share of the fair part.
+const KNOWN: f64 = 0.9;
+/// Of an excess so much is moved at a time: other balancers see the same.
+const PART: f64 = 0.5;
+
+/// What the operator sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Setup {
+    /// Whether anything is moved for balance.
+    pub on: bool,
+    /// Clients a second that this balancer moves at the most; infinite for as many as the learned rate allows.
+    pub most_per_s: f64,
+    /// A move's gain has to be so many times its cost.
+    pub margin: f64,
+    /// Where hosts do not tell how long messages take: the share of their capacity that hosts use on the mean.
+    pub assumed_use: f64,
+}
+
+impl Default for Setup {
+    /// Off; when it is on, at most 2 moves a second that gain twice their cost.
+    fn default() -> Setup {
+        Setup { on: false, most_per_s: 2.0, margin: 2.0, assumed_use: 0.7 }
+    }
+}
+
+/// What the pool's settings say that concerns moves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// Balancers that share the hosts, this one included.
+    pub balancers: u32,
+    /// Each class's worth a second.
+    pub worths: Vec<f64>,
+    /// The tightest aim for setting a connection up, in microseconds; 0 where there is none.
+    pub setup_aim: Micros,
+    /// The tightest aim of a message, in microseconds; 0 where unknown.
+    pub message_aim: Micros,
+    /// Hosts tell how long messages take.
+    pub tells_delay: bool,
+    /// Price of each client moved once, as a share of all worth.
+    pub move_price: f64,
+    /// A host that starts is warm after this time.
+    pub warm_up: Micros,
+}
+
+/// What happened.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Word {
+    /// A client asks: by which flow's key, if it has one, and whether it says that it was moved or cut off.
+    Arrived { auth: AuthId, key: Option<u64>, again: bool },
+    /// Its connection stands, so long after it was asked for at the host; none for one that stood before.
+    Stood { auth: AuthId, at: Connection, setup: Option<Micros> },
+    /// It told its load, in microseconds of work a second.
+    Load { auth: AuthId, load: f64 },
+    /// A host told how long a message takes there.
+    Delay { host: ServerId, took: Micros },
+    /// A client that asked was refused or failed.
+    Declined { auth: AuthId },
+    /// Nothing is left of it here; `natural` unless it was moved or cut off.
+    Ended { auth: AuthId, natural: bool },
+    /// The list names so many hosts in use.
+    Listed { ready: usize },
+    /// The list cannot be had.
+    ListLost,
+    /// The list was told, with or without a change.
+    ListTold,
+    /// The configuration was read again.
+    Reloaded,
+}
+
+/// A host, as the decision module and the list have it now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostNow {
+    /// Which.
+    pub host: ServerId,
+    /// It is listed for use and has not just failed.
+    pub ready: bool,
+    /// Slots held here, and the ceiling.
+    pub held: f64,
+    /// See `held`.
+    pub ceiling: f64,
+    /// Its list weight.
+    pub weight: f64,
+    /// Share of its capacity that it surely has by now, 0 to 1.
+    pub warmth: f64,
+    /// When its process started, if not long ago.
+    pub started: Option<Time>,
+    /// When it last refused, dropped or was slow, in this life.
+    pub troubled: Option<Time>,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Decision {
+    /// Move these, off these hosts.
+    pub moves: Vec<(AuthId, ServerId)>,
+    /// Raise the ceilings of these hosts to so many slots.
+    pub ceilings: Vec<(ServerId, f64)>,
+    /// Lower the ceilings of these hosts to what they hold.
+    pub lowered: Vec<ServerId>,
+    /// For the log: why it starts or stops.
+    pub log: Option<String>,
+}
+
+/// Figures, since the start of the process but for the rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// Clients moved for balance.
+    pub moved: u64,
+    /// Of those, the ones that came back to this balancer.
+    pub returned: u64,
+    /// Of those, the ones refused or failed.
+    pub refused: u64,
+    /// Moves a second that are allowed now.
+    pub rate: f64,
+    /// Why nothing may be moved now.
+    pub held: Option<Held>,
+}
+
+/// Decides for one pool of one balancer. Same setup, seed, words and times: same moves.
+#[derive(Debug)]
+pub struct Rebalance {
+    setup: Setup,
+    terms: Terms,
+    view: View,
+    rate: Rate,
+    precedence: precedence::Precedence,
+    next: Option<Time>,
+    rng: Pcg64Mcg,
+    /// Hosts being relieved: for them the lower threshold holds.
+    going: BTreeMap<ServerId, Time>,
+    /// Hosts that moves were meant for, by when.
+    filled: BTreeMap<ServerId, Time>,
+    figures: Figures,
+    was_held: Option<Held>,
+}
+
+impl Rebalance {
+    /// One that knows its setup and nothing else.
+    pub fn new(setup: Setup, terms: Terms, seed: u64, now: Time) -> Rebalance {
+        Rebalance {
+            setup,
+            view: View::new(now, &terms),
+            rate: Rate::new(now, &setup, &terms),
+            precedence: precedence::Precedence::new(now),
+            next: setup.on.then_some(now.plus(EVALUATE)),
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x6d6f_7665),
+            going: BTreeMap::new(),
+            filled: BTreeMap::new(),
+            figures: Figures::default(),
+            was_held: None,
+            terms,
+        }
+    }
+
+    /// Other settings from now on; what was seen stays.
+    pub fn configure(&mut self, now: Time, setup: Setup, terms: Terms) {
+        self.rate.configure(&setup, &terms);
+        (self.setup, self.terms) = (setup, terms);
+        self.next = setup.on.then(|| self.next.unwrap_or(now.plus(EVALUATE)));
+        self.take(now, Word::Reloaded);
+    }
+
+    /// When [`Rebalance::evaluate`] is wanted next; never while it is off.
+    pub fn due(&self) -> Option<Time> {
+        self.next
+    }
+
+    /// The figures now.
+    pub fn figures(&self) -> Figures {
+        Figures { rate: if self.setup.on { self.rate.now() } else { 0.0 }, ..self.figures }
+    }
+
+    /// A standing connection, since when, and whether it came back from a move: for tests.
+    pub fn connection(&self, auth: AuthId) -> Option<(Connection, Time, bool)> {
+        self.view.connection(auth)
+    }
+
+    /// Takes in what happened.
+    pub fn take(&mut self, now: Time, word: Word) {
+        match word {
+            Word::Arrived { auth, key, again } => {
+                self.precedence.arrived(now);
+                if self.view.arrived(now, auth, key, again) {
+                    self.figures.returned += 1;
+                    self.rate.returned();
+                } else if again {
+                    self.rate.others_returned();
+                }
+            }
+            Word::Stood { auth, at, setup } => {
+                // Danger: at a slow host a set-up is slow too, which says nothing of the session store.
+                if let Some(took) = setup.filter(|_| !self.view.ever_slow(now, at.host)) {
+                    self.rate.set_up(now, took);
+                }
+                self.view.stood(now, auth, at);
+            }
+            Word::Load { auth, load } => self.view.load(auth, load),
+            Word::Delay { host, took } => self.view.delay(now, host, took),
+            Word::Declined { auth } => {
+                self.rate.declined();
+                if self.view.came_back(auth) {
+                    self.figures.refused += 1;
+                    self.rate.refused(now);
+                }
+            }
+            Word::Ended { auth, natural } => self.view.ended(now, auth, natural),
+            Word::Listed { ready } => self.precedence.listed(now, ready),
+            Word::ListLost => self.precedence.list_lost(now),
+            Word::ListTold => self.precedence.list_told(),
+            Word::Reloaded => self.precedence.reloaded(now),
+        }
+    }
+
+    /// Says who is to move now. Each of the moves counts as made.
+    pub fn evaluate(&mut self, now: Time, world: World, hosts: &[HostNow]) -> Decision {
+        if !self.setup.on {
+            self.next = None;
+            return Decision::default();
+        }
+        self.next = Some(now.plus((EVALUATE as f64 * self.rng.random_range(0.8..1.2)) as Micros));
+        self.going.retain(|_, since| now.since(*since) < FILLED);
+        self.filled.retain(|_, at| now.since(*at) < FILLED);
+        let gone = self.view.give_up_on(now);
+        self.rate.pass(now, self.view.standing(), gone);
+        let ready = hosts.iter().filter(|host| host.ready).count();
+        let held = self.precedence.held(now, world, ready).or_else(|| self.rate.held(now));
+        let mut decision = Decision::default();
+        if held.is_none() {
+            decision.ceilings = self.raise(now, hosts);
+            (decision.moves, decision.lowered) = self.choose(now, hosts);
+        }
+        // Only what keeps moves from being made is worth a line.
+        if self.was_held != held && (self.figures.moved > 0 || self.was_held.is_some()) {
+            decision.log = Some(match held {
+                Some(held) => format!("rebalancing held: {held}"),
+                None => "rebalancing may go on".to_owned(),
+            });
+        }
+        self.was_held = held;
+        self.figures.held = held;
+        decision
+    }
+
+    /// What is not known yet is taken to be as the rest: the few slots that a host begins with would else keep it
+    /// nearly empty for long after it is warm, and moved clients would go anywhere but there.
+    fn raise(&self, now: Time, hosts: &[HostNow]) -> Vec<(ServerId, f64)> {
+        let (weights, slots) = gain::fleet(hosts);
+        let known = |host: &HostNow| slots * host.weight / weights * KNOWN;
+        let unknown = hosts.iter().filter(|host| gain::unknown(&self.view, now, host));
+        unknown.filter(|host| host.ceiling < known(host)).map(|host| (host.host, known(host))).collect()
+    }
+
+    /// Who is moved, and whose ceilings are lowered to what they hold.
+    fn choose(&mut self, now: Time, hosts: &[HostNow]) -> (Vec<(AuthId, ServerId)>, Vec<ServerId>) {
+        let ready = || hosts.iter().filter(|host| host.ready);
+        let (weights, slots) = gain::fleet(hosts);
+        if weights <= 0.0 || slots <= 0.0 {
+            return Default::default();
+        }
+        let fair = |host: &HostNow| slots * host.weight / weights;
+        let mut pressed = Vec::new();
+        for host in ready() {
+            let going = self.going.contains_key(&host.host);
+            let press = gain::press(&self.terms, &self.setup, &self.view, now, host, fair(host), going);
+            pressed.extend(press.map(|press| (host, press)));
+        }
+        let lowered = pressed.iter().map(|(host, _)| host.host).collect();
+        // Danger: what was just filled must not send the same clients on, unless it tells of too much.
+        let swings = |host: &HostNow| self.filled.contains_key(&host.host) && !self.terms.tells_delay;
+        pressed.retain(|(host, press)| press.sure && !swings(host));
+        let worst = pressed.iter().map(|(_, press)| press.excess).fold(0.0, f64::max);
+        self.rate.excess(now, worst);
+        if pressed.is_empty() || self.rate.tokens() < 1.0 {
+            return (Vec::new(), lowered);
+        }
+        let mut room: Vec<(ServerId, f64)> = Vec::new();
+        for host in ready().filter(|host| pressed.iter().all(|(donor, _)| donor.host != host.host)) {
+            let free = gain::room(&self.terms, &self.view, now, host, fair(host));
+            if free > 0.0 {
+                room.push((host.host, free));
+            }
+        }
+        let away = self.view.slots_away();
+        let mut free = room.iter().map(|(_, free)| free).sum::<f64>() * PART - away;
+        pressed.sort_by(|a, b| b.1.late.total_cmp(&a.1.late).then(b.1.excess.total_cmp(&a.1.excess)));
+        let mut moves = Vec::new();
+        for (host, press) in pressed {
+            let limits = order::Limits {
+                tokens: self.rate.tokens(),
+                saved: self.rate.saved(),
+                slots: free.min(press.excess * PART).max(0.0),
+                cost: self.rate.client_cost(&self.view),
+                margin: self.setup.margin,
+            };
+            let units = order::units(&self.view, &self.terms, host.host);
+            for unit in order::choose(units, &press, host.held, self.view.life(now), limits) {
+                self.rate.spend(unit.members.len());
+                free -= unit.slots;
+                self.going.entry(host.host).or_insert(now);
+                moves.extend(unit.members.into_iter().map(|auth| (auth, host.host)));
+            }
+        }
+        if let (false, Some(&(to, _))) = (moves.is_empty(), room.iter().max_by(|a, b| a.1.total_cmp(&b.1))) {
+            self.filled.insert(to, now);
+        }
+        self.figures.moved += moves.len() as u64;
+        for &(auth, _) in &moves {
+            self.view.sent_away(now, auth);
+        }
+        (moves, lowered)
+    }
+}
--- /dev/null
+++ b/src/rebalance/order.rs
@@ -0,0 +1,101 @@
+//! Who goes first: units with the most relief for their cost. A group goes whole or not at all.
+
+use super::gain::Press;
+use super::view::{View, GROUP_SLOTS};
+use super::Terms;
+use crate::routing::AuthId;
+use crate::ServerId;
+
+/// What moves together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Unit {
+    /// Its connections.
+    pub members: Vec<AuthId>,
+    /// Slots that they take.
+    pub slots: f64,
+    /// Slots that the host is rid of: the group's part too.
+    pub relief: f64,
+    /// Sum of the members' worths, over the mean worth of a class.
+    pub worth: f64,
+}
+
+/// What may be moved off one host.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Clients, now and once the bucket is full.
+    pub tokens: f64,
+    /// See `tokens`.
+    pub saved: f64,
+    /// Slots.
+    pub slots: f64,
+    /// What a move costs a client of mean worth, in seconds of good service.
+    pub cost: f64,
+    /// The gain has to be so many times the cost.
+    pub margin: f64,
+}
+
+/// A host's units. Clients that came back from a move are in none, and a group with such a member neither.
+pub fn units(view: &View, terms: &Terms, host: ServerId) -> Vec<Unit> {
+    let mean = terms.worths.iter().sum::<f64>() / terms.worths.len().max(1) as f64;
+    let worth = |class: u16| {
+        let worth = terms.worths.get(usize::from(class)).copied().unwrap_or(mean);
+        if mean > 0.0 {
+            worth / mean
+        } else {
+            1.0
+        }
+    };
+    let (singles, groups) = view.units(host);
+    let single = |(auth, at, again): &(AuthId, super::Connection, bool)| {
+        let slots = view.slots(at);
+        (!again).then(|| Unit { members: vec![*auth], slots, relief: slots, worth: worth(at.class) })
+    };
+    let mut units: Vec<Unit> = singles.iter().filter_map(single).collect();
+    for (group, members) in groups {
+        let known: Vec<_> = members.iter().filter_map(|auth| view.connection(*auth)).collect();
+        if known.iter().any(|(_, _, again)| *again) {
+            continue;
+        }
+        // Danger: the larger part of a split group would draw the rest after it, and then be drawn back.
+        if view.elsewhere(group, host) > members.len() {
+            // The smaller part: where the others are it is paid for already.
+        } else if view.elsewhere(group, host) > 0 {
+            continue;
+        }
+        let slots: f64 = known.iter().map(|(at, _, _)| view.slots(at)).sum();
+        let paid = if members.len() > 1 || view.elsewhere(group, host) > 0 { GROUP_SLOTS } else { 0.0 };
+        let worth = known.iter().map(|(at, _, _)| worth(at.class)).sum();
+        units.push(Unit { members, slots, relief: slots + paid, worth });
+    }
+    units
+}
+
+/// Of these units of a host that holds so many slots, the ones that are moved now. `life` is the mean life of a
+/// connection in seconds: press and mover both last about half of it.
+pub fn choose(units: Vec<Unit>, press: &Press, held: f64, life: f64, limits: Limits) -> Vec<Unit> {
+    let horizon = life / 2.0;
+    let gain = |unit: &Unit| (unit.relief * press.relief() + unit.worth * press.lost()) * horizon;
+    let cost = |unit: &Unit| unit.worth * limits.cost;
+    let pays = |unit: &Unit| gain(unit) > cost(unit) * limits.margin;
+    let mut paying: Vec<Unit> = units.into_iter().filter(pays).collect();
+    let efficiency = |unit: &Unit| gain(unit) / cost(unit).max(f64::MIN_POSITIVE);
+    // Ties go by number, which is age: the same choice from the same state.
+    let by = |a: &Unit, b: &Unit| efficiency(b).total_cmp(&efficiency(a)).then(a.members.cmp(&b.members));
+    paying.sort_by(by);
+    let (mut tokens, mut slots) = (limits.tokens, limits.slots.min(held));
+    let mut chosen = Vec::new();
+    for unit in paying {
+        let members = unit.members.len() as f64;
+        // Danger: single connections would take each token as it comes, and no group would ever go.
+        if members > tokens && members <= limits.saved && unit.slots * 0.5 <= slots {
+            break;
+        }
+        // One that is a little too large would be put off for ever where the excess is small: half will do.
+        if members <= tokens && unit.slots * 0.5 <= slots && slots > 0.0 {
+            tokens -= members;
+            slots -= unit.slots;
+            chosen.push(unit);
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/src/rebalance/view.rs
@@ -0,0 +1,303 @@
+//! What this balancer knows of hosts and of standing connections, for rebalancing.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::Terms;
+use crate::routing::AuthId;
+use crate::{Micros, ServerId, Time};
+
+/// Clients that were moved and have not come back: more than these are not remembered.
+pub const MOST_AWAY: usize = 4096;
+/// Who was moved and has not come back after so long has left, or is with another balancer.
+pub const AWAY: Micros = 5_000_000;
+/// A host that is slow says so every second; after so long without a word it is not.
+pub const SILENT: Micros = 2_500_000;
+/// So many of the last seconds a host has to have been slow.
+const STREAK: usize = 3;
+const STREAK_OVER: Micros = 4_000_000;
+/// A host pays for a group that it holds as for so many mean connections.
+pub const GROUP_SLOTS: f64 = 3.0;
+/// The most slots that one connection counts for: a wild figure must not rule the rest.
+const MOST_SLOTS: f64 = 32.0;
+/// Lives that the first guess of the mean life counts for, and that guess.
+const PRIOR_ENDS: f64 = 3.0;
+const PRIOR_LIFE: f64 = 30.0;
+
+/// A standing connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Connection {
+    /// Where it stands.
+    pub host: ServerId,
+    /// Its class's number.
+    pub class: u16,
+    /// Its group.
+    pub group: Option<u64>,
+    /// The load that it told last, in microseconds of work a second.
+    pub load: Option<f64>,
+    /// The flow's key, by which its client is known when it comes again.
+    pub key: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    at: Connection,
+    since: Time,
+    /// It came back from a move or a break.
+    again: bool,
+}
+
+#[derive(Debug, Default)]
+struct Host {
+    standing: BTreeSet<AuthId>,
+    /// The seconds in which it was slow, the latest last, and how long a message took then.
+    slow: Vec<(Time, Micros)>,
+}
+
+/// A connection that is of no group, and whether it came back from a move.
+pub type Single = (AuthId, Connection, bool);
+
+/// What is known.
+#[derive(Debug)]
+pub struct View {
+    standing: BTreeMap<AuthId, Standing>,
+    hosts: BTreeMap<ServerId, Host>,
+    /// Where each group stands, with how many.
+    groups: BTreeMap<u64, BTreeMap<ServerId, usize>>,
+    /// Sum and number of the loads of connections that stand.
+    loads: (f64, usize),
+    /// Clients on their way, by key: since when, and their slots.
+    away: BTreeMap<u64, (Time, f64)>,
+    /// Those whose clients have no key.
+    nameless: Vec<(Time, f64)>,
+    /// Authorisations of clients that came back from a move of this balancer's.
+    back: BTreeSet<AuthId>,
+    /// Authorisations that ask again after a break or a move, whoever moved them.
+    again: BTreeSet<AuthId>,
+    /// Time that connections stood, in seconds, up to then, and how many came to their own end.
+    exposure: (f64, Time),
+    ends: f64,
+    /// How long moved clients were away, in microseconds: a running mean.
+    away_for: f64,
+    message_aim: Micros,
+}
+
+impl View {
+    pub(super) fn new(now: Time, terms: &Terms) -> View {
+        View {
+            standing: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            loads: (0.0, 0),
+            away: BTreeMap::new(),
+            nameless: Vec::new(),
+            back: BTreeSet::new(),
+            again: BTreeSet::new(),
+            exposure: (0.0, now),
+            ends: 0.0,
+            away_for: 700_000.0,
+            message_aim: terms.message_aim,
+        }
+    }
+
+    /// A client asks. Whether it is one that this balancer moved.
+    pub(super) fn arrived(&mut self, now: Time, auth: AuthId, key: Option<u64>, again: bool) -> bool {
+        let Some((since, _)) = key.and_then(|key| self.away.remove(&key)) else {
+            if again {
+                self.again.insert(auth);
+            }
+            return false;
+        };
+        self.away_for += (now.since(since) as f64 - self.away_for) / 16.0;
+        self.again.insert(auth);
+        self.back.insert(auth);
+        true
+    }
+
+    /// Whether this authorisation is of a client that came back from a move of this balancer's.
+    pub fn came_back(&self, auth: AuthId) -> bool {
+        self.back.contains(&auth)
+    }
+
+    pub(super) fn stood(&mut self, now: Time, auth: AuthId, at: Connection) {
+        self.remove(now, auth);
+        self.pass(now);
+        if let Some(load) = at.load {
+            self.loads = (self.loads.0 + load, self.loads.1 + 1);
+        }
+        self.hosts.entry(at.host).or_default().standing.insert(auth);
+        if let Some(group) = at.group {
+            *self.groups.entry(group).or_default().entry(at.host).or_default() += 1;
+        }
+        let again = self.again.contains(&auth);
+        self.standing.insert(auth, Standing { at, since: now, again });
+    }
+
+    pub(super) fn load(&mut self, auth: AuthId, load: f64) {
+        if let Some(connection) = self.standing.get_mut(&auth) {
+            match connection.at.load.replace(load) {
+                Some(old) => self.loads.0 += load - old,
+                None => self.loads = (self.loads.0 + load, self.loads.1 + 1),
+            }
+        }
+    }
+
+    pub(super) fn delay(&mut self, now: Time, host: ServerId, took: Micros) {
+        // Danger: a host that nothing stands at, and that may not be listed, must not fill the map.
+        let Some(host) = self.hosts.get_mut(&host) else { return };
+        host.slow.retain(|(at, _)| now.since(*at) <= STREAK_OVER);
+        let third = self.message_aim / 3;
+        match host.slow.last() {
+            _ if took < third => host.slow.clear(),
+            Some((at, _)) if now.since(*at) < 500_000 => {}
+            _ => host.slow.push((now, took)),
+        }
+    }
+
+    pub(super) fn ended(&mut self, now: Time, auth: AuthId, natural: bool) {
+        if self.remove(now, auth) && natural {
+            self.ends += 1.0;
+        }
+        self.back.remove(&auth);
+        self.again.remove(&auth);
+    }
+
+    fn remove(&mut self, now: Time, auth: AuthId) -> bool {
+        self.pass(now);
+        let Some(Standing { at, .. }) = self.standing.remove(&auth) else { return false };
+        if let Some(load) = at.load {
+            self.loads = (self.loads.0 - load, self.loads.1 - 1);
+        }
+        if let Some(host) = self.hosts.get_mut(&at.host) {
+            host.standing.remove(&auth);
+            if host.standing.is_empty() {
+                self.hosts.remove(&at.host);
+            }
+        }
+        if let Some(hosts) = at.group.and_then(|group| self.groups.get_mut(&group)) {
+            if let Some(count) = hosts.get_mut(&at.host) {
+                *count -= 1;
+            }
+            hosts.retain(|_, count| *count > 0);
+        }
+        if let Some(group) = at.group.filter(|group| self.groups.get(group).is_some_and(BTreeMap::is_empty)) {
+            self.groups.remove(&group);
+        }
+        true
+    }
+
+    fn pass(&mut self, now: Time) {
+        self.exposure.0 += now.since(self.exposure.1) as f64 / 1e6 * self.standing.len() as f64;
+        self.exposure.1 = now;
+    }
+
+    /// It is asked to come again.
+    pub(super) fn sent_away(&mut self, now: Time, auth: AuthId) {
+        let Some(at) = self.standing.get(&auth).map(|standing| standing.at) else { return };
+        let slots = self.slots(&at);
+        match at.key {
+            Some(key) if self.away.len() < MOST_AWAY => drop(self.away.insert(key, (now, slots))),
+            _ if self.nameless.len() < MOST_AWAY => self.nameless.push((now, slots)),
+            _ => {}
+        }
+    }
+
+    /// Forgets those who have been away for too long; how many of them could have been known again.
+    pub(super) fn give_up_on(&mut self, now: Time) -> usize {
+        let before = self.away.len();
+        self.away.retain(|_, (at, _)| now.since(*at) < AWAY);
+        // Nobody knows when those without a key are back: within the usual time.
+        let usual = self.away_for as Micros * 2;
+        self.nameless.retain(|(at, _)| now.since(*at) < usual);
+        before - self.away.len()
+    }
+
+    /// Slots that are on their way. Danger: of several balancers' clients most come back to another one; what
+    /// is away for longer than usual is placed there by now.
+    pub fn slots_away(&self) -> f64 {
+        self.away.values().map(|(_, slots)| slots).chain(self.nameless.iter().map(|(_, slots)| slots)).sum()
+    }
+
+    /// Connections that stand.
+    pub fn standing(&self) -> usize {
+        self.standing.len()
+    }
+
+    /// The mean of a connection's life, in seconds, as far as ends and the time without them tell: the estimate
+    /// of an exponential life from censored data.
+    pub fn life(&self, now: Time) -> f64 {
+        let exposure = self.exposure.0 + now.since(self.exposure.1) as f64 / 1e6 * self.standing.len() as f64;
+        (exposure + PRIOR_LIFE * PRIOR_ENDS) / (self.ends + PRIOR_ENDS)
+    }
+
+    /// How long a moved client is away, in seconds.
+    pub fn away_for(&self) -> f64 {
+        self.away_for / 1e6
+    }
+
+    /// Slots of a connection: its load over the mean of all.
+    pub fn slots(&self, at: &Connection) -> f64 {
+        let mean = self.loads.0 / self.loads.1.max(1) as f64;
+        match at.load {
+            Some(load) if mean > 0.0 => (load / mean).clamp(0.0, MOST_SLOTS),
+            _ => 1.0,
+        }
+    }
+
+    /// How long messages take at a host that has been slow for a while, in microseconds.
+    pub fn slow(&self, now: Time, host: ServerId) -> Option<Micros> {
+        let slow = &self.hosts.get(&host)?.slow;
+        let lately = slow.iter().filter(|(at, _)| now.since(*at) <= STREAK_OVER);
+        let (last, took) = slow.last()?;
+        (lately.count() >= STREAK && now.since(*last) <= SILENT).then_some(*took)
+    }
+
+    /// Whether a host told lately that it is slow, for however short a while.
+    pub fn ever_slow(&self, now: Time, host: ServerId) -> bool {
+        let last = self.hosts.get(&host).and_then(|host| host.slow.last());
+        last.is_some_and(|(at, _)| now.since(*at) <= STREAK_OVER)
+    }
+
+    /// A host's single connections, and its groups with their members.
+    pub fn units(&self, host: ServerId) -> (Vec<Single>, BTreeMap<u64, Vec<AuthId>>) {
+        let (mut singles, mut groups) = (Vec::new(), BTreeMap::<u64, Vec<AuthId>>::new());
+        for auth in self.hosts.get(&host).into_iter().flat_map(|host| &host.standing) {
+            let Some(standing) = self.standing.get(auth) else { continue };
+            match standing.at.group {
+                Some(group) => groups.entry(group).or_default().push(*auth),
+                None => singles.push((*auth, standing.at, standing.again)),
+            }
+        }
+        (singles, groups)
+    }
+
+    /// A standing connection, since when, and whether it came back from a move.
+    pub fn connection(&self, auth: AuthId) -> Option<(Connection, Time, bool)> {
+        self.standing.get(&auth).map(|standing| (standing.at, standing.since, standing.again))
+    }
+
+    /// How many of a group stand at other hosts.
+    pub fn elsewhere(&self, group: u64, host: ServerId) -> usize {
+        let hosts = self.groups.get(&group).into_iter().flatten();
+        hosts.filter(|(other, _)| **other != host).map(|(_, count)| count).sum()
+    }
+
+    /// Share of a host's connections that stand there with others of their group.
+    pub fn grouped(&self, host: ServerId) -> f64 {
+        let (singles, groups) = self.units(host);
+        let all = singles.len() + groups.values().map(Vec::len).sum::<usize>();
+        let together = groups.values().map(Vec::len).filter(|count| *count > 1).sum::<usize>();
+        together as f64 / all.max(1) as f64
+    }
+
+    /// The standard deviation, in slots, of what stands at a host if it came there by chance: units are single
+    /// connections and groups, and a compound Poisson sum has the variance of its units' squares.
+    pub fn noise(&self, host: ServerId) -> f64 {
+        let (singles, groups) = self.units(host);
+        let singles = singles.iter().map(|(_, at, _)| self.slots(at).powi(2)).sum::<f64>();
+        let of = |members: &Vec<AuthId>| {
+            let slots = members.iter().filter_map(|auth| self.standing.get(auth)).map(|s| self.slots(&s.at));
+            (slots.sum::<f64>() + if members.len() > 1 { GROUP_SLOTS } else { 0.0 }).powi(2)
+        };
+        (singles + groups.values().map(of).sum::<f64>()).sqrt()
+    }
+}
--- a/src/routing/acquirer.rs
+++ b/src/routing/acquirer.rs
@@ -1,6 +1,7 @@
 //! The acquirer side: who connects, who asks, and how many may.
 
 use super::{host_number, Answer, Auth, AuthId, Authorisation, Effect, Partner, Phase, PoolId, State};
+use crate::rebalance::Word;
 use crate::{ClassId, Event, GroupId, Micros, Outcome, RequestId, TenantId, Time};
 
 /// How long a balancer that leaves asks refused clients to stay away: the front needs that to notice.
@@ -90,6 +91,8 @@
         pool.held += 1;
         pool.ids.extend(ask.id.clone());
         self.auths.entry(id).and_modify(|auth| auth.ask = ask.clone());
+        let arrived = Word::Arrived { auth: id, key: ask.key, again: ask.again };
+        pool.rebalance.take(now, arrived);
         let (group, load, request) = (ask.group.map(GroupId), ask.load, RequestId(id.0));
         self.set_due(id, None);
         let Some(name) = ask.standing_at else {
--- a/src/routing/door.rs
+++ b/src/routing/door.rs
@@ -96,6 +96,9 @@
             let by_hand = |host| pool.table.any(host).is_some_and(|host| pool.out.contains(&host.name));
             let avoided = pool.table.hosts().filter(|&host| by_hand(host) || pool.balancer.avoids(now, host));
             figures.ejected += avoided.count() as u64;
+            if pool.setup.rebalance.on {
+                figures.rebalance.insert(pool.setup.name.to_owned(), pool.rebalance.figures());
+            }
         }
         figures
     }
--- a/src/routing/handover.rs
+++ b/src/routing/handover.rs
@@ -115,7 +115,7 @@
             pool.elsewhere.remove(id);
             pool.ids.insert(id.clone());
         }
-        let leg = Some(Leg { number: 0, host, written: true, until: now });
+        let leg = Some(Leg { number: 0, host, written: true, since: now, until: now });
         let auth = Auth {
             pool: pool_id,
             class,
@@ -142,6 +142,7 @@
             self.tell(now, pool_id, Event::Noted { request, note: Note::Load(load) });
         }
         self.watch_over(now, id);
+        self.stood(now, id, None);
         // What holds for its host's other clients holds for it.
         if !known || self.pools[pool_id].table.ready(host).is_none() {
             self.refresh(now, pool_id);
--- a/src/routing/hosts.rs
+++ b/src/routing/hosts.rs
@@ -7,6 +7,7 @@
 use super::{
     stored_host, AuthId, Budget, Counts, Effect, IssuerHost, Lifecycle, Phase, PoolId, PoolSetup, State,
 };
+use crate::rebalance::Word;
 use crate::{Event, Micros, Outcome, ServerId, Time};
 
 /// Where hosts that drain send their clients away by themselves, those of one that is out by hand are moved
@@ -31,6 +32,7 @@
             let setup = setup.after(&pool.setup);
             let moved = setup.discovery.filter(|_| setup.discovery != pool.setup.discovery);
             pool.balancer.configure(setup.settings.clone());
+            pool.rebalance.configure(now, setup.rebalance, setup.rebalance_terms());
             pool.setup = setup;
             pool.counts.resize(pool.setup.classes.len(), Counts::default());
             self.refresh(now, id);
@@ -92,6 +94,8 @@
         }
         pool.out = out;
         let listed = pool.table.follow(hosts.into_values(), &pool.setup.zones);
+        let ready = listed.iter().filter(|host| host.standing == crate::Standing::Serving).count();
+        pool.rebalance.take(now, Word::Listed { ready });
         self.tell(now, pool_id, Event::List(&listed));
         let leaving: Vec<_> = self.at.range((pool_id, ServerId(0))..=(pool_id, ServerId(u32::MAX))).collect();
         let table = &self.pools[pool_id].table;
--- a/src/routing/legs.rs
+++ b/src/routing/legs.rs
@@ -15,7 +15,7 @@
         let pool = &self.pools[auth.pool];
         let (number, connect) = (auth.legs, pool.setup.settings.connect_timeout);
         auth.legs += 1;
-        auth.leg = Some(Leg { number, host, written: false, until: now.plus(wait) });
+        auth.leg = Some(Leg { number, host, written: false, since: now, until: now.plus(wait) });
         self.at.entry((auth.pool, host)).or_default().insert(id);
         let address = pool.table.any(host).map_or(String::new(), |host| host.address.clone());
         self.effects.push(Effect::OpenLeg { auth: id, leg: number, address, wait });
@@ -27,9 +27,10 @@
         self.auths.get_mut(&id)?.leg.as_mut().filter(|leg| leg.number == number)
     }
 
-    pub(super) fn leg_written(&mut self, id: AuthId, number: u32) {
+    pub(super) fn leg_written(&mut self, now: Time, id: AuthId, number: u32) {
         if let Some(leg) = self.leg(id, number).filter(|leg| !leg.written) {
             leg.written = true;
+            leg.since = now;
             self.forwards += 1;
         }
         self.time_leg(id);
@@ -48,10 +49,12 @@
         }
         let Some(auth) = self.auths.get_mut(&id).filter(|a| a.phase != Phase::Standing) else { return };
         let (pool, placed) = (auth.pool, auth.phase == Phase::Placing);
+        let took = auth.leg.filter(|leg| placed && leg.written).map(|leg| now.since(leg.since));
         auth.phase = Phase::Standing;
         auth.move_at = self.leaving.map(|(_, at)| at.min(now.plus(LEAVING_FROM)));
         self.count(id, |counts| counts.succeeded += 1);
         self.watch_over(now, id);
+        self.stood(now, id, took);
         if placed {
             self.tell(now, pool, Event::Started { request: RequestId(id.0), attempt: number });
         }
@@ -82,6 +85,9 @@
                 if phase != Phase::Standing && end == LegEnd::Verdict {
                     self.count(id, |counts| counts.declined += 1);
                 }
+                if end == LegEnd::SentAway {
+                    self.cut_short(now, id);
+                }
                 self.end(now, id, outcome)
             }
             None => {}
@@ -124,7 +130,7 @@
                 false => self.set_due(id, Some(now.plus(ADOPT_GAP))),
             }
         } else {
-            self.give(id, Answer::Failed);
+            self.give(now, id, Answer::Failed);
             self.end(now, id, Outcome::Reset);
         }
     }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod hosts;
 mod legs;
+mod moves;
 mod sharing;
 mod standing;
 pub mod store;
@@ -24,6 +25,7 @@
 pub use table::{host_number, stored_host, IssuerHost, Lifecycle, RoutingTable};
 pub use words::*;
 
+use crate::rebalance::{self, Rebalance};
 use crate::{Action, Balancer, ClassId, Event, Outcome, ServerId, Time};
 
 struct Pool {
@@ -37,6 +39,8 @@
     /// Hosts that were, and since when they are not any more.
     returned: BTreeMap<String, Time>,
     balancer: Balancer,
+    /// Who is moved for balance.
+    rebalance: Rebalance,
     table: RoutingTable,
     /// The hosts as discovery or the operator's file lists them, before the store has its say.
     listed: BTreeMap<String, IssuerHost>,
@@ -69,6 +73,8 @@
     number: u32,
     host: ServerId,
     written: bool,
+    /// When it was written, and before that when it was opened.
+    since: Time,
     /// When it has to be up.
     until: Time,
 }
@@ -138,6 +144,7 @@
         let map = Store::new(&store.node);
         let pool = |setup: PoolSetup| Pool {
             balancer: Balancer::new(setup.settings.clone(), setup.seed, now),
+            rebalance: Rebalance::new(setup.rebalance, setup.rebalance_terms(), setup.seed, now),
             table: RoutingTable::default(),
             listed: BTreeMap::new(),
             counts: vec![Counts::default(); setup.classes.len()],
@@ -187,7 +194,15 @@
         let timers = self.timers.first().map(|&(at, _)| at);
         let leaving = self.leaving.map(|(from, to)| if self.auths.is_empty() { from } else { to });
         let shared = self.shared.values().copied();
-        wakes.chain(timers).chain(shared).chain(leaving).chain(self.gossip_at).chain(self.shut).min()
+        let rebalancing = self.pools.iter().filter_map(|pool| pool.rebalance.due());
+        wakes
+            .chain(timers)
+            .chain(rebalancing)
+            .chain(shared)
+            .chain(leaving)
+            .chain(self.gossip_at)
+            .chain(self.shut)
+            .min()
     }
 
     /// What the store holds: for tests.
@@ -205,7 +220,7 @@
                 self.make_room(now);
             }
             Input::LegWritten { auth, leg } => {
-                self.leg_written(auth, leg);
+                self.leg_written(now, auth, leg);
             }
             Input::LegUp { auth, leg } => self.leg_up(now, auth, leg),
             Input::LegEnded { auth, leg, end } => self.leg_ended(now, auth, leg, end),
@@ -222,9 +237,13 @@
                 self.follow(now, pool, whole, hosts);
                 if let Some(pool) = self.pools.get_mut(pool) {
                     pool.told = true;
+                    pool.rebalance.take(now, rebalance::Word::ListTold);
                 }
             }
-            Input::TableLost { pool } => self.tell(now, pool, Event::ListFailed),
+            Input::TableLost { pool } => {
+                self.weigh(now, pool, rebalance::Word::ListLost);
+                self.tell(now, pool, Event::ListFailed);
+            }
             Input::Gossip { from, gossip } => self.gossip(now, from, gossip),
             Input::Configure { pools, peers, budget } => self.configure(now, pools, peers, budget),
             Input::Succession => self.bequeath(),
@@ -249,7 +268,7 @@
                     Some(Phase::Greeting) => Answer::Late,
                     _ => Answer::Failed,
                 };
-                self.give(id, answer);
+                self.give(now, id, answer);
                 self.end(now, id, Outcome::Cancelled);
             }
             self.effects.push(Effect::Exit);
@@ -290,6 +309,9 @@
                 self.pools[pool].wake = None;
                 self.tell(now, pool, Event::Wake);
             }
+            if self.pools[pool].rebalance.due().is_some_and(|at| at <= now) {
+                self.rebalance(now, pool);
+            }
         }
     }
 
@@ -354,16 +376,22 @@
     fn answer(&mut self, now: Time, id: AuthId, answer: Answer) {
         // Danger: an authorisation that has ended in the meantime must not be answered a second time.
         if self.auths.contains_key(&id) {
-            self.give(id, answer);
+            self.give(now, id, answer);
             self.forget(now, id);
         }
     }
 
     /// The one place that gives an answer, and counts it.
-    fn give(&mut self, id: AuthId, answer: Answer) {
+    fn give(&mut self, now: Time, id: AuthId, answer: Answer) {
         match answer {
-            Answer::Refused(_) => self.count(id, |counts| counts.declined += 1),
-            Answer::Failed => self.count(id, |counts| counts.aborted += 1),
+            Answer::Refused(_) => {
+                self.count(id, |counts| counts.declined += 1);
+                self.declined(now, id);
+            }
+            Answer::Failed => {
+                self.count(id, |counts| counts.aborted += 1);
+                self.declined(now, id);
+            }
             // What stood was counted when it came to stand, and what never asked has no class.
             Answer::Moved | Answer::Late => {}
         }
--- /dev/null
+++ b/src/routing/moves.rs
@@ -0,0 +1,101 @@
+//! Rebalancing, on the reducer's side: what it is told, and how its moves are carried out.
+
+use super::{AuthId, PoolId, State};
+use crate::rebalance::view::Connection;
+use crate::rebalance::{Figures, HostNow, Word, World};
+use crate::{Learned, Micros, Outcome, ServerId, Time};
+
+impl State {
+    /// Tells a pool's rebalancing.
+    pub(super) fn weigh(&mut self, now: Time, pool: PoolId, word: Word) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.rebalance.take(now, word);
+        }
+    }
+
+    /// An authorisation was refused or failed.
+    pub(super) fn declined(&mut self, now: Time, id: AuthId) {
+        if let Some(pool) = self.auths.get(&id).map(|auth| auth.pool) {
+            self.weigh(now, pool, Word::Declined { auth: id });
+        }
+    }
+
+    /// What a pool's rebalancing did, where it is on: for models and tests.
+    pub fn rebalancing(&self, pool: PoolId) -> Option<Figures> {
+        let pool = self.pools.get(pool).filter(|pool| pool.setup.rebalance.on)?;
+        Some(pool.rebalance.figures())
+    }
+
+    /// A standing connection ends before its own end.
+    pub(super) fn cut_short(&mut self, now: Time, id: AuthId) {
+        if let Some(pool) = self.auths.get(&id).map(|auth| auth.pool) {
+            self.weigh(now, pool, Word::Ended { auth: id, natural: false });
+        }
+    }
+
+    /// An authorisation's connection stands, so long after its leg was written.
+    pub(super) fn stood(&mut self, now: Time, id: AuthId, setup: Option<Micros>) {
+        let Some((auth, leg)) = self.auths.get(&id).and_then(|auth| Some((auth, auth.leg?))) else { return };
+        let (pool, class) = (auth.pool, auth.class.unwrap_or_default().0);
+        let at =
+            Connection { host: leg.host, class, group: auth.ask.group, load: auth.load, key: auth.ask.key };
+        self.weigh(now, pool, Word::Stood { auth: id, at, setup });
+    }
+
+    /// Its time has come to look whether anybody should be moved.
+    pub(super) fn rebalance(&mut self, now: Time, pool_id: PoolId) {
+        let table = &self.pools[pool_id].table;
+        let there = self.at.range((pool_id, ServerId(0))..=(pool_id, ServerId(u32::MAX)));
+        let leaving = there.filter(|((_, host), _)| table.ready(*host).is_none());
+        let world = World {
+            leaving: self.leaving.is_some(),
+            handover: self.partner.is_some(),
+            draining: leaving.map(|(_, auths)| auths.len()).sum(),
+        };
+        let pool = &mut self.pools[pool_id];
+        let settings = &pool.setup.settings;
+        let host_now = |host| {
+            let (held, ceiling) = pool.balancer.occupancy(host)?;
+            let known = pool.balancer.learned(host)?;
+            let listed = pool.table.any(host)?;
+            let warm = |at: Time| now.since(at) as f64 / settings.warm_up.max(1) as f64;
+            let grown = |at| settings.cold_share + (1.0 - settings.cold_share) * warm(at);
+            let weight = Some(listed.weight).filter(|weight| *weight > 0.0 && weight.is_finite());
+            Some(HostNow {
+                host,
+                ready: pool.table.ready(host).is_some() && known.failures == 0,
+                held,
+                ceiling,
+                weight: weight.unwrap_or(1.0),
+                warmth: listed.started.map_or(1.0, grown).clamp(0.01, 1.0),
+                started: listed.started,
+                troubled: known.troubled,
+            })
+        };
+        let hosts: Vec<HostNow> = pool.table.hosts().filter_map(host_now).collect();
+        let decision = pool.rebalance.evaluate(now, world, &hosts);
+        let name = pool.setup.name;
+        self.effects.extend(decision.log.map(|text| super::Effect::Log(format!("{name}: {text}"))));
+        for (host, ceiling) in decision.ceilings {
+            let balancer = &mut self.pools[pool_id].balancer;
+            if let Some(known) = balancer.learned(host) {
+                balancer.learn(host, Learned { ceiling: known.ceiling.max(ceiling), ..known });
+            }
+        }
+        for host in decision.lowered {
+            let balancer = &mut self.pools[pool_id].balancer;
+            if let (Some((held, _)), Some(known)) = (balancer.occupancy(host), balancer.learned(host)) {
+                balancer.learn(host, Learned { ceiling: known.ceiling.min(held), ..known });
+            }
+        }
+        for (id, host) in decision.moves {
+            self.move_away(now, id, Outcome::Cancelled);
+            // Danger: the slot that this frees may be the only free one, and would draw the same client again.
+            let balancer = &mut self.pools[pool_id].balancer;
+            if let (Some((held, _)), Some(known)) = (balancer.occupancy(host), balancer.learned(host)) {
+                let ceiling = known.ceiling.min(held);
+                balancer.learn(host, Learned { ceiling, moved: Some(now), ..known });
+            }
+        }
+    }
+}
--- a/src/routing/standing.rs
+++ b/src/routing/standing.rs
@@ -1,6 +1,7 @@
 //! Connections that stand, their moves and their ends.
 
 use super::{Answer, AuthId, Effect, Leg, Partner, Phase, State};
+use crate::rebalance::Word;
 use crate::{Event, Micros, Note, Outcome, RequestId, Time};
 
 /// A balancer that is told to leave has the longest wait of its acquirer sides for it, at most so long, and
@@ -43,9 +44,12 @@
             last.is_some_and(|&(_, took)| (took / SLOW_FACTOR..took * SLOW_FACTOR).contains(&figure));
         let note = if pool.setup.tells_delay && (figure < mean * LEAST_LOAD || goes_on) {
             pool.slow.insert(leg.host, (now, figure));
-            Note::MessageTime((figure.max(0.0) * 1000.0) as Micros)
+            let took = (figure.max(0.0) * 1000.0) as Micros;
+            pool.rebalance.take(now, Word::Delay { host: leg.host, took });
+            Note::MessageTime(took)
         } else {
             pool.loads = (pool.loads.0 + figure, pool.loads.1 + 1.0);
+            pool.rebalance.take(now, Word::Load { auth: id, load: figure });
             self.auths.entry(id).and_modify(|auth| auth.load = Some(figure));
             Note::Load(figure)
         };
@@ -55,6 +59,9 @@
     /// Ends an authorisation whose answer was given or is not owed any more, whatever of it is out.
     pub(super) fn end(&mut self, now: Time, id: AuthId, outcome: Outcome) {
         let Some((pool, phase)) = self.auths.get(&id).map(|a| (a.pool, a.phase)) else { return };
+        // Whoever is moved or cut off has told so before: of these nothing is known any more.
+        let natural = matches!(outcome, Outcome::Ok | Outcome::Cancelled);
+        self.weigh(now, pool, Word::Ended { auth: id, natural });
         let leg = self.forget(now, id);
         let attempt = match (phase, leg) {
             // To the module an adopted connection stands by its attempt 0, however often it was tried.
@@ -75,6 +82,7 @@
         if let Some(auth) = self.auths.remove(&id) {
             self.waiting.insert(id, now);
             let pool = &mut self.pools[auth.pool];
+            pool.rebalance.take(now, Word::Ended { auth: id, natural: false });
             pool.held -= usize::from(auth.phase != Phase::Greeting);
             auth.ask.id.map(|id| pool.ids.remove(&id));
         }
@@ -83,7 +91,8 @@
 
     /// The acquirer side is told to come again, and both sides are closed.
     pub(super) fn move_away(&mut self, now: Time, id: AuthId, outcome: Outcome) {
-        self.give(id, Answer::Moved);
+        self.give(now, id, Answer::Moved);
+        self.cut_short(now, id);
         self.end(now, id, outcome);
     }
 
--- a/src/routing/words.rs
+++ b/src/routing/words.rs
@@ -5,7 +5,7 @@
 
 use super::store::{Entry, Gossip, Letter};
 use super::IssuerHost;
-use crate::{Learned, Micros, Settings, Time};
+use crate::{rebalance, Learned, Micros, Settings, Time};
 
 /// One authorisation: a connection of the acquirer side, from its accept to its end. Never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -32,6 +32,10 @@
     pub wait: Option<Micros>,
     /// It stood already, at this issuer host.
     pub standing_at: Option<String>,
+    /// By what its client is known when it comes again: a hash of the flow's key, where there is one.
+    pub key: Option<u64>,
+    /// It says that its connection broke or was moved.
+    pub again: bool,
 }
 
 /// How a leg ended, as its issuer host or the network had it.
@@ -101,6 +105,8 @@
     pub discovered: u64,
     /// Of those, the ones avoided now.
     pub ejected: u64,
+    /// Of each front that rebalances, by its name.
+    pub rebalance: BTreeMap<String, rebalance::Figures>,
 }
 
 /// One caller at the operators' door.
@@ -305,9 +311,26 @@
     pub tells_delay: bool,
     /// The longest that an acquirer side waits for its answer.
     pub longest_wait: Micros,
+    /// How standing connections are moved towards balance.
+    pub rebalance: rebalance::Setup,
 }
 
 impl PoolSetup {
+    /// What of this concerns rebalancing.
+    pub(super) fn rebalance_terms(&self) -> rebalance::Terms {
+        let Settings { classes, balancers, move_price, warm_up, .. } = &self.settings;
+        let setup_aims = classes.iter().map(|class| class.setup_aim).filter(|&aim| aim > 0);
+        rebalance::Terms {
+            balancers: *balancers,
+            worths: classes.iter().map(|class| class.worth).collect(),
+            setup_aim: setup_aims.min().unwrap_or(0),
+            message_aim: self.settings.message_aim(),
+            tells_delay: self.tells_delay,
+            move_price: *move_price,
+            warm_up: *warm_up,
+        }
+    }
+
     /// This setup in the place of another. Danger: authorisations that are out know their class, tenant and
     /// zone by number, so names keep theirs; one that is no longer configured is there by no name.
     pub(super) fn after(mut self, old: &PoolSetup) -> PoolSetup {
--- a/src/transport/handover.rs
+++ b/src/transport/handover.rs
@@ -34,7 +34,7 @@
 /// What is for the other process.
 pub enum Outgoing {
     Share { caller: CallerId, host: String, out: bool },
-    Pass { auth: AuthId, pool: PoolId, standing: Standing },
+    Pass { auth: AuthId, pool: PoolId, standing: Box<Standing> },
 }
 
 /// The connected socket between two processes: not a stream, whatever it is called here, but one that keeps
@@ -277,7 +277,7 @@
                 Outgoing::Share { caller, host, out } => {
                     link.send(&Word::Share { number: caller.0, host, out }, &[]).await
                 }
-                Outgoing::Pass { auth, pool, standing } => pass(hub, link, auth, pool, standing).await,
+                Outgoing::Pass { auth, pool, standing } => pass(hub, link, auth, pool, *standing).await,
             },
         };
         if let Err(error) = done {
@@ -325,7 +325,7 @@
             let hub = hub.clone();
             tokio::task::spawn_local(async move {
                 sleep(REST_GAP).await;
-                hub.to_partner(Outgoing::Pass { auth, pool, standing });
+                hub.to_partner(Outgoing::Pass { auth, pool, standing: Box::new(standing) });
             });
         }
         return Ok(());
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -192,7 +192,7 @@
                     }
                 }
                 Effect::Pass { auth, pool, standing } => {
-                    self.to_partner(Outgoing::Pass { auth, pool, standing })
+                    self.to_partner(Outgoing::Pass { auth, pool, standing: Box::new(standing) })
                 }
                 Effect::Share { caller, host, out } => self.to_partner(Outgoing::Share { caller, host, out }),
                 Effect::KeepBans(bans) => {
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -43,6 +43,7 @@
         silence: 5_000_000,
         tells_delay: true,
         longest_wait: WAIT,
+        rebalance: rebalance::Setup::default(),
     }
 }
 
@@ -125,6 +126,12 @@
         self.list(host, Lifecycle::Draining)
     }
 
+    /// The list says that a host has started now.
+    pub fn restarted(&mut self, host: usize) -> Vec<Effect> {
+        let host = IssuerHost { started: Some(self.now), ..self.host(host, Lifecycle::Ready) };
+        self.put(Input::Table { pool: 0, whole: false, hosts: vec![host] })
+    }
+
     pub fn list(&mut self, host: usize, lifecycle: Lifecycle) -> Vec<Effect> {
         let hosts = vec![self.host(host, lifecycle)];
         self.put(Input::Table { pool: 0, whole: false, hosts })
--- /dev/null
+++ b/tests/rebalance.rs
@@ -0,0 +1,642 @@
+//! Rebalancing: its parts in virtual time, its place in the reducer, and its settings.
+
+mod desk;
+
+use desk::{ask, Desk, HOSTS};
+use proptest::prelude::*;
+use sagemount::program::config;
+use sagemount::rebalance::view::Connection;
+use sagemount::rebalance::{Decision, Held, HostNow, Rebalance, Setup, Terms, Word, World};
+use sagemount::routing::*;
+use sagemount::{ServerId, Time};
+
+const SECOND: u64 = 1_000_000;
+
+fn terms() -> Terms {
+    Terms {
+        balancers: 1,
+        worths: vec![3.0, 2.0],
+        setup_aim: 300_000,
+        message_aim: 100_000,
+        tells_delay: true,
+        move_price: 0.025,
+        warm_up: 8_800_000,
+    }
+}
+
+fn setup() -> Setup {
+    Setup { on: true, most_per_s: 20.0, ..Setup::default() }
+}
+
+/// A rebalancing with hosts and a clock.
+struct Rig {
+    core: Rebalance,
+    now: Time,
+    hosts: Vec<HostNow>,
+    next: u64,
+    world: World,
+}
+
+impl Rig {
+    fn new(setup: Setup, terms: Terms, hosts: usize) -> Rig {
+        let now = Time(1_000 * SECOND);
+        let host = |n| HostNow {
+            host: ServerId(n),
+            ready: true,
+            held: 0.0,
+            ceiling: 4.0,
+            weight: 1.0,
+            warmth: 1.0,
+            started: None,
+            troubled: None,
+        };
+        let hosts = (0..hosts as u32).map(host).collect();
+        let mut rig =
+            Rig { core: Rebalance::new(setup, terms, 7, now), now, hosts, next: 0, world: World::default() };
+        rig.word(Word::Listed { ready: rig.hosts.len() });
+        rig
+    }
+
+    /// Four hosts: the first full and telling of slow messages, the last back and empty.
+    fn lopsided() -> Rig {
+        let mut rig = Rig::new(setup(), terms(), 4);
+        for host in 0..3 {
+            rig.stand(host, if host == 0 { 40 } else { 20 }, None);
+        }
+        rig.hosts[3].started = Some(rig.now);
+        rig
+    }
+
+    fn word(&mut self, word: Word) {
+        self.core.take(self.now, word);
+    }
+
+    fn stand(&mut self, host: u32, count: usize, group: Option<u64>) -> Vec<AuthId> {
+        let auths: Vec<AuthId> = (0..count).map(|_| self.one(host, group)).collect();
+        self.hosts[host as usize].ceiling = self.hosts[host as usize].held;
+        auths
+    }
+
+    fn one(&mut self, host: u32, group: Option<u64>) -> AuthId {
+        self.next += 1;
+        let (auth, key) = (AuthId(self.next), Some(self.next));
+        let at = Connection { host: ServerId(host), class: 0, group, load: None, key };
+        self.word(Word::Stood { auth, at, setup: None });
+        self.hosts[host as usize].held += 1.0;
+        auth
+    }
+
+    /// Half a second later, with the first host telling each second of messages that take so long.
+    fn half(&mut self, slow: Option<u64>) -> Decision {
+        self.now = self.now.plus(SECOND / 2);
+        if let Some(took) = slow.filter(|_| self.now.0.is_multiple_of(SECOND)) {
+            self.word(Word::Delay { host: ServerId(0), took });
+        }
+        let decision = self.core.evaluate(self.now, self.world, &self.hosts);
+        for &(auth, host) in &decision.moves {
+            self.hosts[host.0 as usize].held -= 1.0;
+            self.word(Word::Ended { auth, natural: false });
+        }
+        decision
+    }
+
+    /// So many seconds of that: who was moved.
+    fn seconds(&mut self, count: u64, slow: Option<u64>) -> Vec<AuthId> {
+        let halves = (0..2 * count).map(|_| self.half(slow)).collect::<Vec<_>>();
+        halves.into_iter().flat_map(|decision| decision.moves).map(|(auth, _)| auth).collect()
+    }
+
+    /// The client of a moved one comes again and stands at the last host.
+    fn back(&mut self, moved: AuthId, setup: u64) {
+        self.next += 1;
+        let (auth, key) = (AuthId(self.next + 10_000), Some(moved.0));
+        self.word(Word::Arrived { auth, key, again: true });
+        let host = ServerId(self.hosts.len() as u32 - 1);
+        let at = Connection { host, class: 0, group: None, load: None, key };
+        self.word(Word::Stood { auth, at, setup: Some(setup) });
+        self.hosts.last_mut().expect("a host").held += 1.0;
+    }
+
+    fn held(&self) -> Option<Held> {
+        self.core.figures().held
+    }
+}
+
+#[test]
+fn a_pressed_host_gives_up_connections_to_one_that_is_back_and_empty() {
+    let mut rig = Rig::lopsided();
+    let moved = rig.seconds(10, Some(80_000));
+    assert!(!moved.is_empty(), "nobody moved");
+    assert!(moved.len() <= 10, "{} moved in ten seconds, from a rate that begins low", moved.len());
+    assert!(moved.iter().all(|auth| auth.0 <= 40), "only those of the pressed host: {moved:?}");
+}
+
+#[test]
+fn off_means_off_and_costs_nothing() {
+    let mut rig = Rig::lopsided();
+    rig.core.configure(rig.now, Setup { on: false, ..setup() }, terms());
+    assert_eq!(rig.core.due(), None);
+    assert!(rig.seconds(10, Some(80_000)).is_empty());
+}
+
+#[test]
+fn one_short_spell_of_slow_messages_moves_nobody() {
+    let mut rig = Rig::lopsided();
+    assert!(rig.seconds(2, Some(80_000)).is_empty());
+    assert!(rig.seconds(20, None).is_empty());
+}
+
+#[test]
+fn nobody_moves_where_no_host_has_room() {
+    let mut rig = Rig::lopsided();
+    // As full as the others, and none has started lately.
+    rig.stand(3, 25, None);
+    rig.hosts[3].started = None;
+    assert!(rig.seconds(20, Some(80_000)).is_empty());
+}
+
+/// Danger: a slow host shows few connections because that is all it bears.
+#[test]
+fn a_slow_host_that_is_rightly_held_less_is_not_filled_up() {
+    let mut rig = Rig::lopsided();
+    rig.stand(3, 8, None);
+    rig.hosts[3].started = None;
+    rig.hosts[3].troubled = Some(rig.now);
+    rig.hosts[3].ceiling = 8.0;
+    rig.now = rig.now.plus(30 * SECOND);
+    assert!(rig.seconds(20, Some(80_000)).is_empty());
+    // And its ceiling stays as its trouble has cut it.
+    assert!(rig.half(None).ceilings.is_empty());
+}
+
+/// Random placement deviates by about the square root of what a host holds; that is no cause to move anybody.
+#[test]
+fn chance_moves_nobody() {
+    for tells_delay in [true, false] {
+        let terms = Terms { tells_delay, message_aim: if tells_delay { 100_000 } else { 0 }, ..terms() };
+        let mut rig = Rig::new(setup(), terms, 4);
+        for (host, count) in [(0, 24), (1, 16), (2, 20), (3, 20)] {
+            rig.stand(host, count, None);
+        }
+        assert!(rig.seconds(60, None).is_empty());
+    }
+}
+
+#[test]
+fn where_hosts_tell_nothing_only_what_chance_does_not_explain_moves_anybody() {
+    let mut rig = Rig::new(setup(), Terms { tells_delay: false, message_aim: 0, ..terms() }, 4);
+    for host in 0..3 {
+        rig.stand(host, 200, None);
+    }
+    rig.hosts[3].started = Some(rig.now);
+    assert!(!rig.seconds(10, None).is_empty());
+}
+
+/// What was lost to a host by chance or a restart is placed anew at no cost: ceilings go first.
+#[test]
+fn a_host_over_its_part_has_its_ceiling_lowered_and_an_unknown_one_has_it_raised() {
+    let mut rig = Rig::lopsided();
+    let decision = rig.half(None);
+    assert_eq!(decision.lowered, [ServerId(0)]);
+    let [(host, ceiling)] = decision.ceilings[..] else { panic!("{decision:?}") };
+    assert_eq!(host, ServerId(3));
+    assert!((ceiling - 18.0).abs() < 1e-9, "0.9 of its part of 20: {ceiling}");
+    assert!(decision.moves.is_empty());
+}
+
+#[test]
+fn a_group_goes_whole_or_not_at_all() {
+    for size in [2, 5, 20, 60] {
+        let mut rig = Rig::new(setup(), terms(), 4);
+        let groups: Vec<Vec<AuthId>> = (0..120 / size).map(|n| rig.stand(0, size, Some(n as u64))).collect();
+        rig.stand(1, 20, None);
+        rig.stand(2, 20, None);
+        rig.hosts[3].started = Some(rig.now);
+        for second in 0..60 {
+            rig.seconds(1, Some(80_000));
+            rig.hosts[3].started = Some(rig.now);
+            let gone = |auth: &&AuthId| rig.core.figures().moved > 0 && !rig.stands(**auth);
+            for group in &groups {
+                let gone = group.iter().filter(gone).count();
+                assert!(gone == 0 || gone == size, "{gone} of {size} gone in second {second}");
+            }
+        }
+    }
+}
+
+impl Rig {
+    fn stands(&self, auth: AuthId) -> bool {
+        self.core.connection(auth).is_some()
+    }
+}
+
+/// A wave of one group's members is one unit, whose chance explains it.
+#[test]
+fn a_wave_of_one_groups_members_is_no_imbalance() {
+    let mut rig = Rig::new(setup(), terms(), 4);
+    for host in 0..3 {
+        rig.stand(host, 20, None);
+    }
+    rig.stand(0, 30, Some(9));
+    rig.hosts[3].started = Some(rig.now);
+    assert!(rig.seconds(20, Some(80_000)).is_empty());
+}
+
+/// The larger part stays, the smaller one goes to it.
+#[test]
+fn of_a_split_group_the_smaller_part_goes_first() {
+    let mut rig = Rig::lopsided();
+    let small = rig.stand(0, 2, Some(5));
+    rig.stand(1, 6, Some(5));
+    let large = rig.stand(0, 3, Some(6));
+    rig.stand(2, 1, Some(6));
+    let moved = rig.seconds(6, Some(80_000));
+    assert!(moved.len() >= 2 && moved[..2] == small[..], "{moved:?}");
+    assert!(moved.iter().all(|auth| !large.contains(auth)), "{moved:?}");
+}
+
+/// Danger: what a move sent away must not be sent on.
+#[test]
+fn a_client_that_came_back_is_not_moved_again() {
+    let mut rig = Rig::lopsided();
+    let mut back = Vec::new();
+    for _ in 0..8 {
+        for auth in rig.seconds(1, Some(80_000)) {
+            rig.back(auth, 30_000);
+            back.push(AuthId(rig.next + 10_000));
+        }
+    }
+    let figures = rig.core.figures();
+    assert!(figures.moved > 0 && figures.returned == figures.moved, "{figures:?}");
+    // Now the last host is the one that is full.
+    rig.hosts[3].held = 60.0;
+    for _ in 0..40 {
+        rig.now = rig.now.plus(SECOND / 2);
+        rig.word(Word::Delay { host: ServerId(3), took: 90_000 });
+        let decision = rig.core.evaluate(rig.now, rig.world, &rig.hosts);
+        assert!(decision.moves.iter().all(|(auth, _)| !back.contains(auth)));
+    }
+}
+
+/// The session store five times slower: from the start, beginning midway, and over again.
+#[test]
+fn slow_set_ups_stop_it_and_usual_ones_start_it_again() {
+    let mut rig = Rig::lopsided();
+    let set_ups = |rig: &mut Rig, took: u64, host: u32| {
+        for _ in 0..20 {
+            let auth = rig.one(host, None);
+            let at = Connection { host: ServerId(host), class: 0, group: None, load: None, key: None };
+            rig.word(Word::Stood { auth, at, setup: Some(took) });
+            rig.word(Word::Ended { auth, natural: true });
+            rig.hosts[host as usize].held -= 1.0;
+        }
+    };
+    set_ups(&mut rig, 40_000, 1);
+    assert!(!rig.seconds(8, Some(80_000)).is_empty());
+    set_ups(&mut rig, 200_000, 1);
+    assert!(rig.seconds(1, Some(80_000)).is_empty());
+    assert_eq!(rig.held(), Some(Held::SlowSetUps));
+    assert_eq!(rig.core.figures().rate, 0.0);
+    set_ups(&mut rig, 40_000, 1);
+    rig.seconds(8, Some(80_000));
+    assert_eq!(rig.held(), None);
+    // From the start there is no usual; the aim tells.
+    let mut rig = Rig::lopsided();
+    set_ups(&mut rig, 200_000, 1);
+    assert!(rig.seconds(1, Some(80_000)).is_empty());
+    assert_eq!(rig.held(), Some(Held::SlowSetUps));
+}
+
+/// Danger: at a host that is slow a set-up is slow, too; the store has no part in that.
+#[test]
+fn slow_set_ups_at_a_slow_host_say_nothing_of_the_store() {
+    let mut rig = Rig::lopsided();
+    rig.seconds(4, Some(80_000));
+    for _ in 0..20 {
+        let auth = rig.one(0, None);
+        let at = Connection { host: ServerId(0), class: 0, group: None, load: None, key: None };
+        rig.word(Word::Stood { auth, at, setup: Some(400_000) });
+    }
+    rig.seconds(1, Some(80_000));
+    assert_eq!(rig.held(), None);
+}
+
+#[test]
+fn clients_that_do_not_come_back_stop_it() {
+    let mut rig = Rig::lopsided();
+    rig.stand(0, 100, None);
+    let mut held = false;
+    for _ in 0..40 {
+        rig.seconds(1, Some(80_000));
+        rig.hosts[3].started = Some(rig.now);
+        held |= rig.held() == Some(Held::NotBack);
+    }
+    assert!(held, "{:?}", rig.core.figures());
+    let moved = rig.core.figures().moved;
+    assert!(moved <= 16, "{moved} moved, though none came back");
+}
+
+/// Of three balancers' clients two thirds come back to another one: that is no reason to stop.
+#[test]
+fn clients_that_come_back_to_another_balancer_do_not_stop_it() {
+    let mut rig = Rig::lopsided();
+    rig.core.configure(rig.now, setup(), Terms { balancers: 3, ..terms() });
+    let mut count = 0;
+    for _ in 0..40 {
+        for auth in rig.seconds(1, Some(80_000)) {
+            count += 1;
+            if count % 3 == 0 {
+                rig.back(auth, 30_000);
+            }
+            // As many of the others' clients come here.
+            if count % 3 == 1 {
+                rig.word(Word::Arrived {
+                    auth: AuthId(50_000 + auth.0),
+                    key: Some(90_000 + auth.0),
+                    again: true,
+                });
+            }
+        }
+        assert_ne!(rig.held(), Some(Held::NotBack));
+    }
+    assert!(count > 3);
+}
+
+#[test]
+fn a_moved_client_that_is_refused_stops_it_for_a_while_and_longer_each_time() {
+    let mut rig = Rig::lopsided();
+    let mut waits = Vec::new();
+    for _ in 0..3 {
+        let mut moved = Vec::new();
+        while moved.is_empty() {
+            moved = rig.seconds(1, Some(80_000));
+            assert!(rig.now < Time(2_000 * SECOND), "nobody moved");
+        }
+        rig.hosts[3].started = Some(rig.now);
+        for (n, auth) in moved.into_iter().enumerate() {
+            if n > 0 {
+                rig.back(auth, 30_000);
+                continue;
+            }
+            let again = AuthId(70_000 + auth.0);
+            rig.word(Word::Arrived { auth: again, key: Some(auth.0), again: true });
+            rig.word(Word::Declined { auth: again });
+            rig.word(Word::Ended { auth: again, natural: false });
+        }
+        let since = rig.now;
+        rig.half(Some(80_000));
+        assert_eq!(rig.held(), Some(Held::Refused));
+        while rig.held() == Some(Held::Refused) {
+            rig.half(Some(80_000));
+        }
+        waits.push(rig.now.since(since));
+    }
+    assert_eq!(rig.core.figures().refused, 3);
+    assert!(waits[0] >= 2 * SECOND && waits[1] > waits[0] && waits[2] > waits[1], "{waits:?}");
+}
+
+#[test]
+fn moves_that_do_not_help_stop_it() {
+    let mut rig = Rig::lopsided();
+    rig.stand(0, 100, None);
+    let mut held = false;
+    for _ in 0..60 {
+        rig.hosts[3].started = Some(rig.now);
+        for auth in rig.seconds(1, Some(80_000)) {
+            rig.back(auth, 30_000);
+            // As many come to the pressed host as leave it, and none to the empty one.
+            rig.hosts[3].held -= 1.0;
+            rig.one(0, None);
+        }
+        held |= rig.held() == Some(Held::NoUse);
+    }
+    assert!(held, "{:?}", rig.core.figures());
+}
+
+#[test]
+fn each_precedence_holds_everything() {
+    let held = |spoil: &dyn Fn(&mut Rig)| {
+        let mut rig = Rig::lopsided();
+        rig.seconds(3, Some(80_000));
+        spoil(&mut rig);
+        let moved: usize = (0..2).map(|_| rig.half(Some(80_000)).moves.len()).sum();
+        assert_eq!(moved, 0);
+        rig.held()
+    };
+    let world = |world: World| held(&move |rig: &mut Rig| rig.world = world);
+    assert_eq!(world(World { leaving: true, ..World::default() }), Some(Held::Leaving));
+    assert_eq!(world(World { handover: true, ..World::default() }), Some(Held::HandOver));
+    assert_eq!(world(World { draining: 1, ..World::default() }), Some(Held::Draining));
+    assert_eq!(held(&|rig| rig.word(Word::Reloaded)), Some(Held::Reload));
+    assert_eq!(held(&|rig| rig.word(Word::ListLost)), Some(Held::ListLost));
+    assert_eq!(held(&|rig| rig.word(Word::Listed { ready: 2 })), Some(Held::ListShrank));
+    assert_eq!(held(&|rig| rig.word(Word::Listed { ready: 0 })), Some(Held::ListShrank));
+    let storm = |rig: &mut Rig| {
+        for n in 0..60 {
+            rig.word(Word::Arrived { auth: AuthId(80_000 + n), key: None, again: false });
+        }
+    };
+    assert_eq!(held(&storm), Some(Held::Storm));
+    let one = |rig: &mut Rig| rig.hosts.iter_mut().skip(1).for_each(|host| host.ready = false);
+    assert_eq!(held(&one), Some(Held::FewHosts));
+}
+
+/// What takes precedence ends, but a host that drains for hours must not hold the rest up for ever.
+#[test]
+fn holds_end_by_themselves() {
+    let mut rig = Rig::lopsided();
+    rig.word(Word::Reloaded);
+    rig.word(Word::ListLost);
+    rig.world.draining = 3;
+    rig.word(Word::ListTold);
+    rig.seconds(29, None);
+    assert_eq!(rig.held(), Some(Held::Draining));
+    rig.seconds(3, None);
+    assert_eq!(rig.held(), None);
+}
+
+#[test]
+fn a_cold_host_is_offered_no_more_than_fills_it_over_its_warm_up() {
+    let mut rig = Rig::lopsided();
+    rig.hosts[3].warmth = 0.34;
+    let moved = rig.seconds(4, Some(80_000)).len();
+    // 20 slots over 8.8 s: at most four and a half in two seconds, and half of that at a time.
+    assert!(moved <= 4, "{moved}");
+}
+
+/// A host that comes back and dies again while it is being filled has room no more.
+#[test]
+fn a_host_that_is_gone_again_is_no_room() {
+    let mut rig = Rig::lopsided();
+    assert!(!rig.seconds(8, Some(80_000)).is_empty());
+    rig.hosts[3].ready = false;
+    assert!(rig.seconds(20, Some(80_000)).is_empty());
+}
+
+proptest! {
+    /// Whatever comes in whatever order: bounded, at most so many moves as tokens allow, each of a connection that
+    /// stands at a host in use, none twice; the same words give the same moves.
+    #[test]
+    fn any_words_keep_the_promises(steps in prop::collection::vec((0u8..14, 0u64..40, 0u32..5), 1..400)) {
+        let play = || {
+            let mut rig = Rig::new(setup(), terms(), 5);
+            let mut moves = Vec::new();
+            for &(what, n, host) in &steps {
+                rig.now = rig.now.plus(n * 10_000);
+                let auth = AuthId(n);
+                let at = Connection {
+                    host: ServerId(host),
+                    class: (n % 3) as u16,
+                    group: (n % 4 == 0).then_some(n % 3),
+                    load: (n % 2 == 0).then_some(n as f64 * 10_000.0),
+                    key: (n % 5 > 0).then_some(n),
+                };
+                match what {
+                    0..=3 => {
+                        rig.word(Word::Stood { auth, at, setup: Some(n * 5_000) });
+                        rig.hosts[host as usize].held += 1.0;
+                    }
+                    4 => rig.word(Word::Ended { auth, natural: host > 2 }),
+                    5 => rig.word(Word::Arrived { auth, key: Some(n), again: host > 2 }),
+                    6 => rig.word(Word::Declined { auth }),
+                    7 => rig.word(Word::Load { auth, load: n as f64 * 5_000.0 }),
+                    8 => rig.word(Word::Listed { ready: host as usize }),
+                    9 => rig.word(if host > 2 { Word::ListLost } else { Word::ListTold }),
+                    10 => rig.hosts[host as usize].ready ^= true,
+                    11 => rig.hosts[host as usize].started = Some(rig.now),
+                    _ => {
+                        for _ in 0..3 {
+                            rig.now = rig.now.plus(SECOND);
+                            rig.word(Word::Delay { host: ServerId(host), took: n * 10_000 });
+                        }
+                        let known: Vec<_> = (0..40).filter_map(|n| rig.core.connection(AuthId(n))).collect();
+                        let decision = rig.core.evaluate(rig.now, rig.world, &rig.hosts);
+                        let mut seen = std::collections::BTreeSet::new();
+                        for &(auth, host) in &decision.moves {
+                            prop_assert!(seen.insert(auth), "{auth:?} twice");
+                            prop_assert!(rig.hosts[host.0 as usize].ready);
+                            let stood = rig.core.connection(auth).map(|(at, _, _)| at.host);
+                            prop_assert_eq!(stood, Some(host));
+                            rig.word(Word::Ended { auth, natural: false });
+                        }
+                        prop_assert!(decision.moves.len() <= known.len());
+                        prop_assert!(decision.ceilings.iter().all(|(_, to)| to.is_finite() && *to > 0.0));
+                        moves.push(decision);
+                    }
+                }
+                let figures = rig.core.figures();
+                prop_assert!(figures.rate.is_finite() && (0.0..=20.0).contains(&figures.rate));
+                prop_assert!(figures.returned <= figures.moved && figures.refused <= figures.returned);
+            }
+            Ok(moves)
+        };
+        prop_assert_eq!(play()?, play()?);
+    }
+}
+
+// ---- In the reducer ----
+
+fn balancing() -> PoolSetup {
+    PoolSetup { rebalance: Setup { on: true, most_per_s: 20.0, ..Setup::default() }, ..desk::setup() }
+}
+
+/// A reducer that rebalances, with hosts 0 and 1 and so many connections at the first.
+fn crowded() -> (Desk, Vec<AuthId>) {
+    let mut desk = Desk::new();
+    let setups = vec![balancing()];
+    desk.put(Input::Configure { pools: setups, peers: Vec::new(), budget: desk::BUDGET });
+    let mut auths = Vec::new();
+    for n in 0..40 {
+        let auth = desk.met();
+        let at = HOSTS[if n < 25 { 0 } else { 1 + n % 3 }].to_owned();
+        let ask = Authorisation { standing_at: Some(at), key: Some(auth.0), ..ask() };
+        desk.put(Input::Authorise { auth, ask });
+        desk.put(Input::LegWritten { auth, leg: 0 });
+        desk.put(Input::LegUp { auth, leg: 0 });
+        desk.put(Input::Load { auth, load: 60_000.0 });
+        auths.push(auth);
+    }
+    // The last host is back: the list says that it started just now.
+    desk.restarted(4);
+    (desk, auths)
+}
+
+fn moved(desk: &mut Desk, auths: &[AuthId], seconds: u32) -> Vec<AuthId> {
+    let mut moved = Vec::new();
+    for _ in 0..seconds {
+        for tenth in 0..10 {
+            desk.pass(100_000);
+            let mut effects = desk.put(Input::Tick);
+            if let (0, Some(&auth)) = (tenth, auths.iter().find(|auth| !moved.contains(*auth))) {
+                // A third of the aim: no cause for the module to move anybody by itself.
+                effects.extend(desk.put(Input::Load { auth, load: 45.0 }));
+            }
+            moved.extend(effects.iter().filter_map(|effect| match effect {
+                Effect::Answer { auth, answer: Answer::Moved } => Some(*auth),
+                _ => None,
+            }));
+        }
+    }
+    moved
+}
+
+#[test]
+fn the_reducer_moves_clients_of_a_pressed_host_and_tells_how_many() {
+    let (mut desk, auths) = crowded();
+    let gone = moved(&mut desk, &auths, 15);
+    assert!(!gone.is_empty(), "nobody moved");
+    assert!(gone.iter().all(|auth| auths[..25].contains(auth)));
+    let reply = desk.put(Input::Call { caller: CallerId(1), call: Call::Telemetry });
+    let Some(Effect::Reply { reply: Reply::Figures(figures), .. }) = reply.last() else {
+        panic!("{reply:?}")
+    };
+    assert_eq!(figures.rebalance["platform"].moved as usize, gone.len());
+    // One comes back and is known by its key.
+    let auth = desk.met();
+    desk.put(Input::Authorise {
+        auth,
+        ask: Authorisation { key: gone.last().map(|auth| auth.0), again: true, ..ask() },
+    });
+    assert_eq!(desk.state.rebalancing(0).map(|figures| figures.returned), Some(1));
+}
+
+#[test]
+fn the_reducer_moves_nobody_for_balance_while_it_leaves_or_hands_over() {
+    let (mut desk, auths) = crowded();
+    desk.put(Input::Succession);
+    assert!(moved(&mut desk, &auths, 15).is_empty());
+    let (mut desk, auths) = crowded();
+    desk.put(Input::Leave);
+    moved(&mut desk, &auths, 3);
+    assert_eq!(desk.state.rebalancing(0).map(|figures| figures.moved), Some(0));
+}
+
+#[test]
+fn a_drain_comes_first() {
+    let (mut desk, auths) = crowded();
+    desk.drain(1);
+    assert!(moved(&mut desk, &auths, 15).is_empty());
+}
+
+#[test]
+fn a_reload_that_turns_it_off_ends_it() {
+    let (mut desk, auths) = crowded();
+    desk.put(Input::Configure { pools: vec![desk::setup()], peers: Vec::new(), budget: desk::BUDGET });
+    assert!(moved(&mut desk, &auths, 15).is_empty());
+    assert_eq!(desk.state.rebalancing(0), None);
+}
+
+// ---- Settings ----
+
+#[test]
+fn its_file_is_checked_by_key() {
+    let sound = config::parse_rebalance(include_bytes!("../deploy/rebalance.json")).expect("sound");
+    assert!(sound["irc"].on);
+    let fault = |text: &str| config::parse_rebalance(text.as_bytes()).expect_err("faulty").to_string();
+    assert!(fault(r#"{"platform": {"margin": 0.5}}"#).starts_with("platform.margin: at least 1"));
+    assert!(fault(r#"{"irc": {"most_per_s": 0}}"#).starts_with("irc.most_per_s: more than 0"));
+    assert!(fault(r#"{"irc": {"assumed_use": 1}}"#).starts_with("irc.assumed_use: a share"));
+    assert!(fault(r#"{"irc": {"speed": 1}}"#).starts_with("irc.speed: no such key"));
+    assert!(fault(r#"{"smtp": {}}"#).starts_with("smtp: no such key"));
+    assert!(fault("{").starts_with("document: not JSON"));
+}
