--- a/model/src/day.rs
+++ b/model/src/day.rs
@@ -136,6 +136,116 @@
     splits: (f64, f64),
 }
 
+/// What a balancer of this world is told.
+fn setup(world: &World, seed: u64) -> PoolSetup {
+    let class = |n: usize| Class {
+        worth: CLASSES[n].0,
+        setup_aim: SETUP_AIMS[n],
+        message_aim: if world.tells_delay { CLASSES[n].1 as u64 } else { 0 },
+        repeat: Repeat::Safe,
+    };
+    PoolSetup {
+        name: "model",
+        classes: vec!["stock-feed".to_owned(), "wallet".to_owned()],
+        tenants: Vec::new(),
+        zones: vec!["a".to_owned()],
+        settings: Settings {
+            balancers: world.balancers as u32,
+            classes: vec![class(0), class(1)],
+            max_attempts: 6,
+            cancel: true,
+            retry_after: true,
+            max_retry_after: 1_500_000,
+            connect_timeout: 250_000,
+            must_ask: true,
+            move_price: MOVE_PRICE,
+            cold_share: 0.34,
+            warm_up: 8_800_000,
+            fall_multiple: 4.0,
+            fall_window: 3_000_000,
+            ..Settings::default()
+        },
+        seed,
+        discovery: None,
+        greeting: 1_500_000,
+        from_store: false,
+        most_held: usize::MAX,
+        drain_over: 0,
+        silence: 5_000_000,
+        tells_delay: world.tells_delay,
+        longest_wait: 3_200_000,
+        rebalance: world.rebalance,
+    }
+}
+
+fn host_entry(n: usize, lifecycle: Lifecycle, started: Option<u64>) -> IssuerHost {
+    IssuerHost {
+        name: format!("s-{:08x}", n + 1),
+        address: n.to_string(),
+        zone: "a".to_owned(),
+        cell: 0,
+        lifecycle,
+        weight: 1.0,
+        started: started.map(|at| Time(ORIGIN + at)),
+    }
+}
+
+/// One reducer that holds connections at twenty hosts, a little lopsided, and hears nothing but time.
+pub struct Held {
+    state: State,
+    now: u64,
+}
+
+impl Held {
+    /// So many connections, with rebalancing on or off.
+    pub fn new(standing: usize, on: bool) -> Held {
+        let world = World {
+            hosts: 20,
+            balancers: 1,
+            rebalance: sagemount::rebalance::Setup { on, ..Default::default() },
+            ..World::default()
+        };
+        let setup = setup(&world, 1);
+        let budget = Budget { waiting: 100_000, held: 100_000, buffer: 8192 };
+        let mut state = State::new(vec![setup], StoreSetup::default(), budget, Time(ORIGIN));
+        let mut feed = |input| drop(reduce(&mut state, Time(ORIGIN), input));
+        feed(Input::Table {
+            pool: 0,
+            whole: true,
+            hosts: (0..20).map(|n| host_entry(n, Lifecycle::Ready, None)).collect(),
+        });
+        for n in 0..standing {
+            let auth = AuthId(n as u64);
+            // One host more in twenty at the first: over its part, so that the whole of it is looked at.
+            let host = if n % 20 == 19 && n % 3 == 0 { 0 } else { n % 20 };
+            let ask = Authorisation {
+                class: "stock-feed".to_owned(),
+                standing_at: Some(format!("s-{:08x}", host + 1)),
+                key: Some(n as u64),
+                ..Authorisation::default()
+            };
+            feed(Input::Met { auth, pool: 0 });
+            feed(Input::Authorise { auth, ask });
+            feed(Input::LegWritten { auth, leg: 0 });
+            feed(Input::LegUp { auth, leg: 0 });
+            feed(Input::Load { auth, load: LOAD * (0.5 + (n % 7) as f64 / 6.0) });
+        }
+        Held { state, now: 0 }
+    }
+
+    /// So many seconds pass.
+    pub fn pass(&mut self, seconds: u64) {
+        let end = self.now + seconds * SECOND;
+        while let Some(at) =
+            self.state.next_due().map(|at| at.0.saturating_sub(ORIGIN)).filter(|at| *at < end)
+        {
+            self.now = at.max(self.now + 1);
+            reduce(&mut self.state, Time(ORIGIN + self.now), Input::Tick);
+        }
+        self.now = end;
+    }
+}
+
 /// Plays a day.
 pub fn play(world: &World, trouble: Trouble, session: Session, seed: u64) -> Result {
     let clients = clients::draw(world, seed);
@@ -197,59 +307,15 @@
     }
 
     fn node(&self, n: usize, life: u64) -> Node {
-        let class = |n: usize| Class {
-            worth: CLASSES[n].0,
-            setup_aim: SETUP_AIMS[n],
-            message_aim: if self.world.tells_delay { CLASSES[n].1 as u64 } else { 0 },
-            repeat: Repeat::Safe,
-        };
-        let setup = PoolSetup {
-            name: "model",
-            classes: vec!["stock-feed".to_owned(), "wallet".to_owned()],
-            tenants: Vec::new(),
-            zones: vec!["a".to_owned()],
-            settings: Settings {
-                balancers: self.world.balancers as u32,
-                classes: vec![class(0), class(1)],
-                max_attempts: 6,
-                cancel: true,
-                retry_after: true,
-                max_retry_after: 1_500_000,
-                connect_timeout: 250_000,
-                must_ask: true,
-                move_price: MOVE_PRICE,
-                cold_share: 0.34,
-                warm_up: 8_800_000,
-                fall_multiple: 4.0,
-                fall_window: 3_000_000,
-                ..Settings::default()
-            },
-            seed: self.seed.wrapping_mul(1_000_003).wrapping_add(n as u64 * 101 + life),
-            discovery: None,
-            greeting: 1_500_000,
-            from_store: false,
-            most_held: usize::MAX,
-            drain_over: 0,
-            silence: 5_000_000,
-            tells_delay: self.world.tells_delay,
-            longest_wait: 3_200_000,
-            rebalance: self.world.rebalance,
-        };
+        let seed = self.seed.wrapping_mul(1_000_003).wrapping_add(n as u64 * 101 + life);
+        let setup = setup(self.world, seed);
         let budget = Budget { waiting: 100_000, held: 100_000, buffer: 8192 };
         let state = State::new(vec![setup], StoreSetup::default(), budget, self.clock());
         Node { state, up: true, life, auths: BTreeMap::new(), next: 0, due: None, died: 0 }
     }
 
     fn list(&self) -> Vec<IssuerHost> {
-        let host = |(n, lifecycle): (usize, &Lifecycle)| IssuerHost {
-            name: format!("s-{:08x}", n + 1),
-            address: n.to_string(),
-            zone: "a".to_owned(),
-            cell: 0,
-            lifecycle: *lifecycle,
-            weight: 1.0,
-            started: self.hosts[n].started.map(|at| Time(ORIGIN + at)),
-        };
+        let host = |(n, lifecycle): (usize, &Lifecycle)| host_entry(n, *lifecycle, self.hosts[n].started);
         let listed = self.listed.iter().enumerate().filter(|(_, state)| **state != Lifecycle::Gone);
         listed.map(host).collect()
     }
--- a/model/src/main.rs
+++ b/model/src/main.rs
@@ -3,9 +3,10 @@
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
+use std::time::Instant;
 
 use argh::FromArgs;
-use sagemount_model::day::play;
+use sagemount_model::day::{play, Held};
 use sagemount_model::grid::{days, moving, world as world_of, Cell, GROUPS, RATES, SESSIONS, TROUBLES};
 use sagemount_model::world::{self, Session, Trouble, World};
 
@@ -22,6 +23,7 @@
     Grid(Grid),
     Troubles(Troubles),
     Day(Day),
+    Cost(Cost),
 }
 
 /// Rebalancing off against on, over all cells of rate, store, trouble and groups, as a table.
@@ -75,6 +77,34 @@
     most: f64,
 }
 
+/// CPU time of a reducer that only holds connections, with rebalancing off and on, in one run.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cost")]
+struct Cost {
+    /// connections that stand (default: 10000)
+    #[argh(option, default = "10000")]
+    standing: usize,
+    /// seconds that pass (default: 60)
+    #[argh(option, default = "60")]
+    seconds: u64,
+}
+
+fn cost(line: &Cost) -> bool {
+    // Turn about: whatever else the machine does falls on both sides.
+    let mut took = [f64::INFINITY; 2];
+    for _ in 0..3 {
+        for (n, on) in [false, true].into_iter().enumerate() {
+            let mut held = Held::new(line.standing, on);
+            let since = Instant::now();
+            held.pass(line.seconds);
+            took[n] = took[n].min(since.elapsed().as_secs_f64() / line.seconds as f64);
+        }
+    }
+    let [off, on] = took.map(|share| share * 100.0);
+    println!("{} standing: {off:.4}% of a core off, {on:.4}% on, {:.4}% more", line.standing, on - off);
+    on - off < 1.0
+}
+
 /// Plays cells on all cores; the results in the order of the jobs.
 fn all<J: Sync, R: Send>(jobs: &[J], work: impl Fn(&J) -> R + Sync) -> Vec<R> {
     let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
@@ -197,6 +227,7 @@
         Command::Grid(line) => grid(&line),
         Command::Troubles(line) => troubles(&line),
         Command::Day(line) => day(&line),
+        Command::Cost(line) => cost(&line),
     };
     if sound {
         ExitCode::SUCCESS
