--- a/model/src/main.rs
+++ b/model/src/main.rs
@@ -24,6 +24,7 @@
     Troubles(Troubles),
     Day(Day),
     Cost(Cost),
+    Settle(Settle),
 }
 
 /// Rebalancing off against on, over all cells of rate, store, trouble and groups, as a table.
@@ -77,6 +78,51 @@
     most: f64,
 }
 
+/// Seconds from the last return of a host until load is even again, off and on.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settle")]
+struct Settle {
+    /// pairs for each trouble (default: 60)
+    #[argh(option, default = "60")]
+    seeds: u64,
+    /// most moves a second (default: 2)
+    #[argh(option, default = "2.0")]
+    most: f64,
+}
+
+/// Seconds from this one until three in a row hold, or until the end of the day.
+fn first(from: usize, seconds: usize, holds: impl Fn(usize) -> bool) -> f64 {
+    let found = (from..seconds - 2).find(|&at| (at..at + 3).all(&holds));
+    (found.unwrap_or(seconds) - from) as f64
+}
+
+fn settle(line: &Settle) -> bool {
+    println!("| trouble | worst over mean as before, off | on | lightest at half the mean, off | on |");
+    println!("| --- | --- | --- | --- | --- |");
+    let jobs = [(Trouble::HostRestart, 24), (Trouble::TwoHosts, 24), (Trouble::RestartWave, 45)];
+    for (trouble, back) in jobs {
+        let sides = [world_of((1, 1)), moving(&world_of((1, 1)), line.most)];
+        let seconds = all(&sides, |world| {
+            let (mut even, mut filled) = (0.0, 0.0);
+            for day in days(world, trouble, Session::Normal, 0..line.seeds) {
+                // What random placement gave before anything happened.
+                let usual = day.spread[10..19].iter().sum::<f64>() / 9.0;
+                even += first(back, day.spread.len(), |at| day.spread[at] <= usual);
+                let share = |at: usize| {
+                    let held = day.hosts[at].iter().map(|(held, _)| *held as f64);
+                    let mean = held.clone().sum::<f64>() / day.hosts[at].len() as f64;
+                    held.fold(f64::INFINITY, f64::min) / mean.max(1.0)
+                };
+                filled += first(back, day.hosts.len(), |at| share(at) >= 0.5);
+            }
+            (even / line.seeds as f64, filled / line.seeds as f64)
+        });
+        let [(off, off_filled), (on, on_filled)] = seconds[..] else { return false };
+        println!("| {trouble:?} | {off:.1} s | {on:.1} s | {off_filled:.1} s | {on_filled:.1} s |");
+    }
+    true
+}
+
 /// CPU time of a reducer that only holds connections, with rebalancing off and on, in one run.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "cost")]
@@ -228,6 +274,7 @@
         Command::Troubles(line) => troubles(&line),
         Command::Day(line) => day(&line),
         Command::Cost(line) => cost(&line),
+        Command::Settle(line) => settle(&line),
     };
     if sound {
         ExitCode::SUCCESS
--- a/model/src/world.rs
+++ b/model/src/world.rs
@@ -80,7 +80,7 @@
     RestartWave,
     /// One balancer dies in the 20th second and is back 4 s later with nothing but its list.
     BalancerRestart,
-    /// All balancers but one restart within 30 s, one at a time.
+    /// All balancers but one restart within 30 s, a quarter at a time.
     BalancerWave,
     /// One host has 0.7 of the others' speed, all day.
     SlowHost,
@@ -139,7 +139,8 @@
             }
             Trouble::BalancerRestart => off(0, 20.0, 24.0).to_vec(),
             Trouble::BalancerWave => {
-                let begin = |n: usize| 20.0 + 9.0 * n as f64;
+                let batch = world.balancers.div_ceil(4);
+                let begin = |n: usize| 20.0 + 7.0 * (n / batch) as f64;
                 (0..world.balancers - 1).flat_map(|n| off(n, begin(n), begin(n) + 4.0)).collect()
             }
             Trouble::Drain => vec![(at(20.0), Blow::HostDrains(0)), (at(29.0), Blow::HostDies(0))],
--- a/model/tests/grid.rs
+++ b/model/tests/grid.rs
@@ -62,8 +62,16 @@
     let lists = World { list_delay: 4_000_000, ..world((1, 1)) };
     let gone = World { come_back: 0.5, ..world((1, 1)) };
     let silent = World { tells_delay: false, ..world((1, 1)) };
-    let jobs = [lists, gone, silent].map(|world| (world, Trouble::TwoHosts, Session::Normal, 5.0));
-    sound(&cells(jobs.to_vec()));
+    let mut jobs =
+        [lists, gone, silent].map(|world| (world, Trouble::TwoHosts, Session::Normal, 5.0)).to_vec();
+    // 97% of 32 balancers, a quarter at a time, with a tenth of everything each.
+    let many = World { balancers: 32, ..world((1, 1)) };
+    jobs.push((many, Trouble::BalancerWave, Session::Normal, 5.0));
+    let small = World { groups: (2, 6), used: 0.5, ..world((1, 1)) };
+    jobs.extend(
+        [Trouble::HostRestart, Trouble::Drain].map(|trouble| (small.clone(), trouble, Session::Normal, 5.0)),
+    );
+    sound(&cells(jobs));
 }
 
 /// The model itself: the same seed gives the same day, another gives another.
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -2,7 +2,6 @@
 
 use std::future::Future;
 use std::io;
-use std::os::fd::OwnedFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,7 +11,8 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, Instant};
 
-use super::hub::{Hub, Order};
+use super::hub::Hub;
+use super::orders::{Order, Passed};
 use crate::protocol::pcap::{Close, Tape, Way};
 use crate::protocol::{Front, Step};
 use crate::routing::{Answer, AuthId, Input, LegEnd, Standing};
@@ -148,17 +148,6 @@
     heir: Option<oneshot::Sender<Passed>>,
 }
 
-/// A connection on its way to another process.
-#[derive(Debug)]
-pub struct Passed {
-    pub acquirer: OwnedFd,
-    pub leg: OwnedFd,
-    /// What its front has to know there.
-    pub state: Vec<u8>,
-    /// What its acquirer side is told should it not arrive.
-    pub goodbye: Vec<u8>,
-}
-
 /// Takes a connection in.
 pub fn start(hub: &Rc<Hub>, pool: usize, stream: TcpStream, front: Box<dyn Front>) -> AuthId {
     let (auth, orders) = hub.enter();
--- a/src/transport/handover.rs
+++ b/src/transport/handover.rs
@@ -15,8 +15,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout, Instant};
 
-use super::connection::{self, Passed};
-use super::hub::{Hub, Order};
+use super::connection;
+use super::hub::Hub;
+use super::orders::{Order, Outgoing, Passed};
 use crate::program::config::Config;
 use crate::protocol::handover::{self, Word, LONGEST, MOST_PARTS, MOST_SOCKETS};
 use crate::routing::{AuthId, CallerId, Input, Legacy, PoolId, Standing};
@@ -31,12 +32,6 @@
 /// A connection that is not between two lines is asked again after so long.
 const REST_GAP: Duration = Duration::from_millis(20);
 
-/// What is for the other process.
-pub enum Outgoing {
-    Share { caller: CallerId, host: String, out: bool },
-    Pass { auth: AuthId, pool: PoolId, standing: Box<Standing> },
-}
-
 /// The connected socket between two processes: not a stream, whatever it is called here, but one that keeps
 /// messages apart.
 struct Link(UnixStream);
@@ -339,32 +334,3 @@
     hub.feed(Input::Passed { auth });
     sent
 }
-
-/// The file of hosts out by hand beside the socket.
-fn bans_file(place: &Path) -> PathBuf {
-    place.with_extension("bans")
-}
-
-/// Puts the hosts out by hand where the next process finds them if nobody can tell it. Danger: a crash
-/// halfway must leave the old list or the new.
-pub fn keep_bans(place: &Path, bans: &[String]) {
-    let file = bans_file(place);
-    let new = file.with_extension(format!("{}.new", std::process::id()));
-    let text: String = bans.iter().map(|host| format!("{host}\n")).collect();
-    if let Err(error) = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &file)) {
-        crate::log!(error, "{}: hosts out by hand are not kept: {error}", file.display());
-    }
-}
-
-/// The hosts that were out by hand when a process here last said so.
-pub fn kept_bans(place: &Path) -> Vec<String> {
-    let file = bans_file(place);
-    match std::fs::read(&file) {
-        Ok(bytes) => String::from_utf8_lossy(&bytes).lines().map(str::to_owned).collect(),
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Vec::new(),
-        Err(error) => {
-            crate::log!(error, "{}: {error}", file.display());
-            Vec::new()
-        }
-    }
-}
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -10,33 +10,16 @@
 
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch as watch_channel, Notify};
-use tokio::task::JoinHandle;
 
-use super::connection::Passed;
+use super::bans;
 use super::files::Files;
-use super::handover::{self, Outgoing};
+use super::orders::{Order, Outgoing, WatchOrder};
 use super::record::Recorder;
-use super::watch;
 use crate::protocol::{gossip, Front};
 use crate::routing::store::Gossip;
 use crate::routing::{reduce, Answer, AuthId, CallerId, Effect, Input, LegEnd, Legacy, Reply, State};
 use crate::{Micros, Time};
 
-/// What a connection's task is to do.
-#[derive(Debug)]
-pub enum Order {
-    /// Open a leg.
-    OpenLeg { leg: u32, address: String, wait: Micros },
-    /// Close the leg.
-    CloseLeg,
-    /// Give the answer and end.
-    Answer(Answer),
-    /// End at once, whatever is left to write.
-    Drop,
-    /// Leave it to another process, if it is between two lines.
-    Pass(oneshot::Sender<Passed>),
-}
-
 /// What was seen of an authorisation, for replays.
 #[derive(Clone, Debug)]
 pub enum Seen {
@@ -80,9 +63,6 @@
     pub listener: Rc<TcpListener>,
 }
 
-/// Where a watch is asked for, and its task.
-type Watch = (mpsc::Sender<()>, JoinHandle<()>);
-
 type Observed = HashMap<AuthId, Vec<Seen>>;
 
 /// The reducer's state and those who carry out its effects.
@@ -99,7 +79,8 @@
     pub(super) observed: RefCell<Option<Observed>>,
     met: RefCell<HashMap<AuthId, Time>>,
     pub(super) recorder: RefCell<Option<Recorder>>,
-    watches: RefCell<HashMap<usize, Watch>>,
+    /// Danger: as with connections, a bounded channel could be full; the reducer asks once for each failure.
+    watches: RefCell<Option<mpsc::UnboundedSender<WatchOrder>>>,
     /// Whether the fronts may accept.
     doors: watch_channel::Sender<bool>,
     next: Cell<u64>,
@@ -171,13 +152,10 @@
                 Effect::Drop { auth } => self.order(auth, Order::Drop),
                 Effect::Doors { open } => drop(self.doors.send_replace(open)),
                 Effect::Answer { auth, answer } => self.order(auth, Order::Answer(answer)),
-                Effect::Watch { pool } => {
-                    if let Some((watch, _)) = self.watches.borrow().get(&pool) {
-                        // A watch that is asked for already needs no second word.
-                        let _ = watch.try_send(());
-                    }
+                Effect::Watch { pool } => self.watch(WatchOrder::Again { pool }),
+                Effect::WatchAt { pool, discovery } => {
+                    self.watch(WatchOrder::At { pool, discovery, generation: None })
                 }
-                Effect::WatchAt { pool, discovery } => self.watch(pool, discovery, None),
                 Effect::Tell((to, gossip)) => self.tell(to, &gossip),
                 Effect::Keep { key, entry } => {
                     if let Some(files) = self.files.borrow_mut().as_mut() {
@@ -197,7 +175,7 @@
                 Effect::Share { caller, host, out } => self.to_partner(Outgoing::Share { caller, host, out }),
                 Effect::KeepBans(bans) => {
                     if let Some(place) = self.place.borrow().as_deref() {
-                        handover::keep_bans(place, &bans);
+                        bans::keep_bans(place, &bans);
                     }
                 }
                 Effect::Reply { caller, reply } => {
@@ -401,15 +379,16 @@
         }
     }
 
-    /// Watches a routing table at this address whenever the reducer asks for it; an old watch is let go.
-    pub fn watch(self: &Rc<Self>, pool: usize, discovery: SocketAddr, generation: Option<u64>) {
-        let (sender, wanted) = mpsc::channel(1);
-        // The reducer asked for it with the first list, before there was anyone to ask.
-        let _ = sender.try_send(());
-        let following = watch::follow(self.clone(), pool, discovery, generation, wanted);
-        let watch = (sender, tokio::task::spawn_local(following));
-        if let Some((_, old)) = self.watches.borrow_mut().insert(pool, watch) {
-            old.abort();
+    /// Where orders for watches go from now on.
+    pub fn set_watches(&self, watches: mpsc::UnboundedSender<WatchOrder>) {
+        *self.watches.borrow_mut() = Some(watches);
+    }
+
+    /// Has a routing table watched.
+    pub fn watch(&self, order: WatchOrder) {
+        if let Some(watches) = self.watches.borrow().as_ref() {
+            // It ends only with this process.
+            let _ = watches.send(order);
         }
     }
 
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,11 +1,13 @@
 //! Sockets and timers on tokio, one thread. Nothing is decided here: what comes in is handed to the
 //! reducer, and its effects are carried out.
 
+mod bans;
 mod connection;
 mod door;
 mod files;
 mod handover;
 mod hub;
+mod orders;
 mod record;
 mod replay;
 mod watch;
@@ -19,6 +21,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 use crate::program::config::{Config, Sources, StoreConfig};
@@ -27,6 +30,7 @@
 use crate::routing::{Input, State, StoreSetup};
 pub use door::MOST_CALLERS;
 use hub::{FrontAt, Hub, Makes};
+use orders::WatchOrder;
 use record::Recorder;
 pub use replay::{replay, Which};
 
@@ -256,11 +260,15 @@
     hub.set_place(place.clone());
     match &mut inherited {
         Some(inherited) => hub.feed(Input::Inherit(Box::new(std::mem::take(&mut inherited.legacy)))),
-        None => hub.feed(Input::Kept { entries: Vec::new(), bans: handover::kept_bans(&place) }),
+        None => hub.feed(Input::Kept { entries: Vec::new(), bans: bans::kept_bans(&place) }),
     }
     if let (Some(pool), Some(shop)) = (shop_pool, &config.platform) {
         if let Some(discovery) = shop.pool.discovery {
-            hub.watch(pool, discovery, Some(shop.known.generation));
+            let (watches, orders) = mpsc::unbounded_channel();
+            hub.set_watches(watches);
+            tokio::task::spawn_local(watch::keep(hub.clone(), orders));
+            let generation = Some(shop.known.generation);
+            hub.watch(WatchOrder::At { pool, discovery, generation });
         }
         let listener = taken(&mut inherited, "platform", shop.listen)?;
         crate::log!(info, "{} listens on {}", shop.name, bound(&listener, shop.listen));
--- /dev/null
+++ b/src/transport/orders.rs
@@ -0,0 +1,50 @@
+//! What the hub tells the tasks that carry things out. Only words: whoever carries them out imports this and the
+//! hub, and the hub imports nobody who does.
+
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+
+use tokio::sync::oneshot;
+
+use crate::routing::{Answer, AuthId, CallerId, PoolId, Standing};
+use crate::Micros;
+
+/// What a connection's task is to do.
+#[derive(Debug)]
+pub enum Order {
+    /// Open a leg.
+    OpenLeg { leg: u32, address: String, wait: Micros },
+    /// Close the leg.
+    CloseLeg,
+    /// Give the answer and end.
+    Answer(Answer),
+    /// End at once, whatever is left to write.
+    Drop,
+    /// Leave it to another process, if it is between two lines.
+    Pass(oneshot::Sender<Passed>),
+}
+
+/// A connection on its way to another process.
+#[derive(Debug)]
+pub struct Passed {
+    pub acquirer: OwnedFd,
+    pub leg: OwnedFd,
+    /// What its front has to know there.
+    pub state: Vec<u8>,
+    /// What its acquirer side is told should it not arrive.
+    pub goodbye: Vec<u8>,
+}
+
+/// What is for the other process.
+pub enum Outgoing {
+    Share { caller: CallerId, host: String, out: bool },
+    Pass { auth: AuthId, pool: PoolId, standing: Box<Standing> },
+}
+
+/// What is for the watches on routing tables.
+pub enum WatchOrder {
+    /// Watch this pool's again, telling what was missed first.
+    Again { pool: PoolId },
+    /// Watch at this address from this generation on, or else from the whole list; an old watch is let go.
+    At { pool: PoolId, discovery: SocketAddr, generation: Option<u64> },
+}
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -1,5 +1,6 @@
 //! The watch on discovery's routing table: asked for by the reducer, renewed as long as it holds.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,9 +8,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use super::hub::Hub;
+use super::orders::WatchOrder;
 use crate::protocol::http::{self, News};
 use crate::routing::Input;
 
@@ -25,8 +28,33 @@
     read: Vec<u8>,
 }
 
+/// Keeps a watch for each pool, as the hub asks for them.
+pub async fn keep(hub: Rc<Hub>, mut orders: mpsc::UnboundedReceiver<WatchOrder>) {
+    let mut watches: HashMap<usize, (mpsc::Sender<()>, JoinHandle<()>)> = HashMap::new();
+    while let Some(order) = orders.recv().await {
+        match order {
+            WatchOrder::Again { pool } => {
+                if let Some((watch, _)) = watches.get(&pool) {
+                    // A watch that is asked for already needs no second word.
+                    let _ = watch.try_send(());
+                }
+            }
+            WatchOrder::At { pool, discovery, generation } => {
+                let (sender, wanted) = mpsc::channel(1);
+                // The reducer asked for it with the first list, before there was anyone to ask.
+                let _ = sender.try_send(());
+                let following = follow(hub.clone(), pool, discovery, generation, wanted);
+                let watch = (sender, tokio::task::spawn_local(following));
+                if let Some((_, old)) = watches.insert(pool, watch) {
+                    old.abort();
+                }
+            }
+        }
+    }
+}
+
 /// Follows a routing table for ever, from this generation on or else from the whole list.
-pub async fn follow(
+async fn follow(
     hub: Rc<Hub>,
     pool: usize,
     discovery: SocketAddr,
