--- a/src/routing/door.rs
+++ b/src/routing/door.rs
@@ -3,15 +3,13 @@
 use super::{AuthId, Call, CallerId, Counts, Effect, Figures, Partner, Reply, State};
 use crate::{Micros, Time};
 
-/// Danger: with discovery down nobody would ever be ready, though the list from before the start may do.
-const READY_WITHOUT: Micros = 3_000_000;
 /// The other process has so long to take in an operator's word: the answer is due within 1 s.
 const SHARE_WAIT: Micros = 500_000;
 
 impl State {
     pub(super) fn call(&mut self, now: Time, caller: CallerId, call: Call) {
         let reply = match call {
-            Call::Ready => self.readiness(now).map_or_else(|why| Reply::No(why.to_owned()), |()| Reply::Yes),
+            Call::Ready => self.readiness().map_or_else(|why| Reply::No(why.to_owned()), |()| Reply::Yes),
             Call::Telemetry => Reply::Figures(self.figures(now)),
             Call::Exclude(host) => return self.ban(now, caller, host, true),
             Call::Include(host) => return self.ban(now, caller, host, false),
@@ -61,9 +59,9 @@
     }
 
     /// Whether this process can serve, or why not.
-    fn readiness(&self, now: Time) -> Result<(), &'static str> {
-        let waited = now.since(self.started) >= READY_WITHOUT;
-        let listed = |pool: &super::Pool| pool.told || waited && !pool.listed.is_empty();
+    fn readiness(&self) -> Result<(), &'static str> {
+        // Danger: with discovery down nobody would ever be ready, though the list from before the start may do.
+        let listed = |pool: &super::Pool| pool.told || !pool.listed.is_empty();
         match () {
             () if self.leaving.is_some() => Err("leaving"),
             () if self.partner == Some(Partner::Successor) => Err("another process serves in its place"),
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -102,8 +102,7 @@
     pools: Vec<Pool>,
     auths: BTreeMap<AuthId, Auth>,
     timers: BTreeSet<(Time, AuthId)>,
-    /// Since when the process runs, and whether its fronts listen.
-    started: Time,
+    /// Whether its fronts listen.
     listening: bool,
     /// Legs written in full.
     forwards: u64,
@@ -163,7 +162,6 @@
             pools: pools.into_iter().map(pool).collect(),
             auths: BTreeMap::new(),
             timers: BTreeSet::new(),
-            started: now,
             listening: false,
             forwards: 0,
             bans: BTreeSet::new(),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,6 +56,8 @@
 /// A failure counts twice what a start takes back: a server that accepts and then drops must not pass
 /// for sound.
 const FAILURE_STEP: u32 = 2;
+/// Discovery, which every balancer may ask within some time, bears so many calls in that time, at first guess.
+const LIST_CALLS: u64 = 800;
 /// A request is answered when this share of its time is left: the answer has to reach the client.
 const ANSWER_SHARE: u64 = 64;
 
@@ -287,11 +289,14 @@
         }
     }
 
-    /// Asks again after a growing, jittered wait, well within the time allowed between questions.
+    /// Asks again after a growing, jittered wait, the longer the more balancers may have failed with this one, up to
+    /// the time allowed between questions. Danger: calls are served in turn, and those that come again sooner than
+    /// all before them are done keep each other waiting until all of them fail, for good.
     fn list_failed(&mut self, now: Time) {
         if self.settings.must_ask {
-            let most = self.settings.must_ask_in / 4;
-            let wait = self.jitter(most >> 4u32.saturating_sub(self.list_failures));
+            let most = self.settings.must_ask_in;
+            let first = (most * u64::from(self.settings.balancers) / LIST_CALLS).clamp(most / 64, most / 4);
+            let wait = self.jitter((first << self.list_failures.min(6)).min(most));
             self.list_failures += 1;
             self.subscribe_at = Some(now.plus(wait));
         }
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -19,7 +19,9 @@
 /// A call waits so long for something new. Danger: what discovery has to tell counts as told 6 s later at the
 /// latest, and a watch that has fallen silent looks like one on which nothing happens; so it is soon over.
 const HOLD: Duration = Duration::from_secs(4);
-/// Beyond its hold, a call that has had no answer after this long has failed.
+/// Beyond that, a call that has had no answer after this long has failed, whether it was to wait or not. Danger: a
+/// call that is still in turn at a crowded discovery is the nearest to being answered, and one given up is served all
+/// the same, for nobody; where all give up a little too early nothing that discovery does reaches anyone.
 const LATE: Duration = Duration::from_millis(1500);
 
 /// A connection to discovery, kept from call to call: the next has to come within 200 ms.
@@ -62,14 +64,15 @@
     mut wanted: mpsc::Receiver<()>,
 ) {
     let mut line = None;
-    // Danger: the first call may not wait, or a balancer would be ready only when something happens.
-    let mut hold = Duration::ZERO;
+    // Danger: where a list is held already, a call that may not wait is one more for a discovery that a whole fleet
+    // asks as it restarts.
+    let mut hold = if generation.is_some() { HOLD } else { Duration::ZERO };
     while wanted.recv().await.is_some() {
         // Once asked for, the watch goes on until a call fails; then the reducer says when to ask again.
         while wanted.try_recv().is_ok() {}
         loop {
             let call = call(&mut line, discovery, generation.map(|generation| (generation, hold)));
-            match timeout(hold + LATE, call).await.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
+            match timeout(HOLD + LATE, call).await.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
                 Ok(News { generation: new, whole, hosts }) => {
                     (generation, hold) = (Some(new), HOLD);
                     hub.feed(Input::Table { pool, whole, hosts });
