--- a/model/src/day.rs
+++ b/model/src/day.rs
@@ -175,6 +175,7 @@
         tells_delay: world.tells_delay,
         longest_wait: 3_200_000,
         rebalance: world.rebalance,
+        peers: None,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,6 +75,7 @@
 #![warn(missing_docs)]
 
 // The daemon's layers. The module above knows none of them; see `docs/design.md`.
+pub mod peers;
 #[allow(missing_docs)]
 pub mod program;
 #[allow(missing_docs)]
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,122 @@
+//! What the balancers of one tier tell each other: which host's messages take long.
+//!
+//! One of a hundred balancers holds a connection or two at few hosts. It learns that a host is slow by placing somebody
+//! there, and all the others would learn it in the same way. So the first to be told by a host passes it on, in one
+//! datagram to all. Words may be lost or late, and nothing waits for one: without them each learns by itself.
+//!
+//! It promises that what is spent on words stays a small fixed share of all worth, whatever the price and the number
+//! of balancers, and that one host is told of no more often than a word holds. It is pure, has its clock handed in, and
+//! is owned by the reducer, a field of each pool. Where a new connection goes stays the decision module's choice.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{Micros, ServerId, Time};
+
+/// Words may cost this share of all worth.
+const SPEND: f64 = 0.01;
+/// A datagram is paid for like one of so many bytes, however short (`docs/fleet.md`).
+const LEAST_BYTES: f64 = 16.0;
+/// The price is for so many bytes delivered a request.
+const PRICED_BYTES: f64 = 256.0;
+/// Messages that take this share of their aim are missing it: the host is told of.
+const SLOW: f64 = 0.5;
+/// Words saved up for when they are needed.
+const MOST_CREDIT: f64 = 3.0;
+
+/// How a pool's balancers may tell each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Setup {
+    /// They may at all, and are reached.
+    pub on: bool,
+    /// How many there are, this one included.
+    pub balancers: u32,
+    /// What 256 bytes delivered for each request cost, as a share of all worth; 0 where they cost nothing.
+    pub price: f64,
+    /// A message is wanted within this time; 0 where unknown.
+    pub message_aim: Micros,
+    /// So long a host is avoided for one word of it.
+    pub holds: Micros,
+}
+
+/// A word: messages at a host take so long.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowHost {
+    /// The host, by its number, which is the same at every balancer.
+    pub host: ServerId,
+    /// How long a message takes there.
+    pub took: Micros,
+}
+
+/// Who was told of, and what may still be spent.
+pub struct Peers {
+    setup: Setup,
+    rng: Pcg64Mcg,
+    /// Words that may still be sent. Part of one buys a word with that chance: where each of many balancers serves
+    /// few, none would ever have saved up a whole one.
+    credit: f64,
+    told: BTreeMap<ServerId, Time>,
+}
+
+impl Peers {
+    /// Balancers that have told each other nothing so far.
+    pub fn new(setup: Setup, seed: u64) -> Peers {
+        // Its chance must not be the decision module's, which has the same seed.
+        let rng = Pcg64Mcg::seed_from_u64(seed ^ u64::from_be_bytes(*b"the tier"));
+        let mut peers = Peers { setup, rng, credit: 0.0, told: BTreeMap::new() };
+        peers.stood();
+        peers
+    }
+
+    /// Another setup from now on.
+    pub fn configure(&mut self, setup: Setup) {
+        self.setup = setup;
+    }
+
+    /// A connection came to stand here: it pays for words.
+    pub fn stood(&mut self) {
+        let others = f64::from(self.setup.balancers.saturating_sub(1));
+        let cost = self.setup.price * LEAST_BYTES / PRICED_BYTES * others;
+        let earned = if cost > 0.0 { SPEND / cost } else { MOST_CREDIT };
+        self.credit = (self.credit + earned).min(MOST_CREDIT);
+    }
+
+    /// A host told of its message time here: whether the others are to be told.
+    pub fn slow(&mut self, now: Time, word: SlowHost) -> bool {
+        let Setup { on, balancers, message_aim, .. } = self.setup;
+        let slow = message_aim > 0 && word.took as f64 >= SLOW * message_aim as f64;
+        // Danger: all that hold a connection there are told in the same second.
+        if !(on && balancers > 1 && slow) || self.fresh(now, word.host) {
+            return false;
+        }
+        let chance = self.credit.min(1.0);
+        self.credit -= chance;
+        let tell = self.rng.random_bool(chance);
+        if tell {
+            self.note(now, word.host);
+        }
+        tell
+    }
+
+    /// Another balancer's word came: whether it counts.
+    pub fn heard(&mut self, now: Time, word: SlowHost) -> bool {
+        if self.setup.on {
+            self.note(now, word.host);
+        }
+        self.setup.on
+    }
+
+    /// Whether a word of this host still holds.
+    fn fresh(&self, now: Time, host: ServerId) -> bool {
+        self.told.get(&host).is_some_and(|at| now.since(*at) < self.setup.holds)
+    }
+
+    /// Danger: hosts come and go under ever new numbers; what holds no more is forgotten.
+    fn note(&mut self, now: Time, host: ServerId) {
+        let holds = self.setup.holds;
+        self.told.retain(|_, at| now.since(*at) < holds);
+        self.told.insert(host, now);
+    }
+}
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -128,6 +128,19 @@
     pub limits: Limits,
     /// The operators' door.
     pub mgmt: Option<SocketAddr>,
+    /// How the other balancers of the tier are reached, where the settings allow that.
+    pub peers: Option<PeersAt>,
+}
+
+/// How balancers of a tier reach each other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeersAt {
+    /// Where this one hears the others.
+    pub listen: SocketAddr,
+    /// An address that all of them hear.
+    pub all: SocketAddr,
+    /// From where words come.
+    pub from: Vec<SocketAddr>,
 }
 
 /// Where the configuration stands; it is read again on SIGHUP.
@@ -202,6 +215,12 @@
     let (listen, discovery) = (address(&root.at("listen"))?, address(&root.at("discovery"))?);
     let mut pool = pool(&root.at("settings"), seed(&root.at("seed"))?)?;
     pool.discovery = Some(discovery);
+    let (peer_listen, all) = (maybe_address(&root.at("peer_listen"))?, maybe_address(&root.at("peers_all"))?);
+    let from = root.at("peers").items()?.iter().map(address).collect::<Result<Vec<_>, _>>()?;
+    let reached = peer_listen.zip(all).filter(|_| pool.peers.is_some());
+    let peers = reached.map(|(listen, all)| PeersAt { listen, all, from });
+    // Where nobody is reached, nobody is told.
+    pool.peers = pool.peers.filter(|_| peers.is_some());
     Ok(Platform {
         name: root.at("name").text()?.unwrap_or_else(|| "sagemount".to_owned()),
         listen,
@@ -209,6 +228,7 @@
         pool,
         limits: Limits::read(&root.at("limits"))?,
         mgmt: maybe_address(&root.at("mgmt"))?,
+        peers,
     })
 }
 
@@ -331,6 +351,7 @@
             tells_delay: false,
             longest_wait: give_up,
             rebalance: rebalance::Setup::default(),
+            peers: None,
         },
     };
     let mgmt = maybe_address(&root.at("mgmt"))?;
@@ -470,7 +491,11 @@
         tells_delay: info.at("tells-delay").flag(false)?,
         longest_wait: 0,
         rebalance: rebalance::Setup::default(),
+        peers: None,
     };
+    if limits.at("peers").flag(false)? {
+        setup.peers = Some(charges.at("peer").number(0.0)?);
+    }
     let mut classes = Vec::new();
     let aims = info.at("message-aim").items()?;
     for (n, class) in settings.at("classes").items()?.iter().enumerate() {
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -9,6 +9,7 @@
 pub mod lines;
 pub mod mgmt;
 pub mod pcap;
+pub mod peers;
 pub mod platform;
 
 use crate::routing::{Answer, Authorisation, LegEnd};
--- a/src/routing/hosts.rs
+++ b/src/routing/hosts.rs
@@ -32,6 +32,7 @@
             let setup = setup.after(&pool.setup);
             let moved = setup.discovery.filter(|_| setup.discovery != pool.setup.discovery);
             pool.balancer.configure(setup.settings.clone());
+            pool.peers.configure(setup.peer_setup());
             pool.rebalance.configure(now, setup.rebalance, setup.rebalance_terms());
             pool.setup = setup;
             pool.counts.resize(pool.setup.classes.len(), Counts::default());
--- a/src/routing/legs.rs
+++ b/src/routing/legs.rs
@@ -56,6 +56,7 @@
         self.watch_over(now, id);
         self.stood(now, id, took);
         if placed {
+            self.pools[pool].peers.stood();
             self.tell(now, pool, Event::Started { request: RequestId(id.0), attempt: number });
         }
         self.pass(id);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -25,6 +25,7 @@
 pub use table::{host_number, stored_host, IssuerHost, Lifecycle, RoutingTable};
 pub use words::*;
 
+use crate::peers::Peers;
 use crate::rebalance::{self, Rebalance};
 use crate::{Action, Balancer, ClassId, Event, Outcome, ServerId, Time};
 
@@ -41,6 +42,8 @@
     balancer: Balancer,
     /// Who is moved for balance.
     rebalance: Rebalance,
+    /// What balancers tell each other.
+    peers: Peers,
     table: RoutingTable,
     /// The hosts as discovery or the operator's file lists them, before the store has its say.
     listed: BTreeMap<String, IssuerHost>,
@@ -143,6 +146,7 @@
         let map = Store::new(&store.node);
         let pool = |setup: PoolSetup| Pool {
             balancer: Balancer::new(setup.settings.clone(), setup.seed, now),
+            peers: Peers::new(setup.peer_setup(), setup.seed),
             rebalance: Rebalance::new(setup.rebalance, setup.rebalance_terms(), setup.seed, now),
             table: RoutingTable::default(),
             listed: BTreeMap::new(),
@@ -238,6 +242,11 @@
                     pool.rebalance.take(now, rebalance::Word::ListTold);
                 }
             }
+            Input::Peer { pool, word } => {
+                if self.pools[pool].peers.heard(now, word) {
+                    self.tell(now, pool, Event::Told { server: word.host, took: word.took });
+                }
+            }
             Input::TableLost { pool } => {
                 self.weigh(now, pool, rebalance::Word::ListLost);
                 self.tell(now, pool, Event::ListFailed);
--- a/src/routing/standing.rs
+++ b/src/routing/standing.rs
@@ -1,6 +1,7 @@
 //! Connections that stand, their moves and their ends.
 
 use super::{Answer, AuthId, Effect, Leg, Partner, Phase, State};
+use crate::peers::SlowHost;
 use crate::rebalance::Word;
 use crate::{Event, Micros, Note, Outcome, RequestId, Time};
 
@@ -46,6 +47,10 @@
             pool.slow.insert(leg.host, (now, figure));
             let took = (figure.max(0.0) * 1000.0) as Micros;
             pool.rebalance.take(now, Word::Delay { host: leg.host, took });
+            let word = SlowHost { host: leg.host, took };
+            if pool.peers.slow(now, word) {
+                self.effects.push(Effect::TellPeers(word));
+            }
             Note::MessageTime(took)
         } else {
             pool.loads = (pool.loads.0 + figure, pool.loads.1 + 1.0);
--- a/src/routing/words.rs
+++ b/src/routing/words.rs
@@ -5,6 +5,7 @@
 
 use super::store::{Entry, Gossip, Letter};
 use super::IssuerHost;
+use crate::peers::{self, SlowHost};
 use crate::{rebalance, Learned, Micros, Settings, Time};
 
 /// One authorisation: a connection of the acquirer side, from its accept to its end. Never used twice.
@@ -194,6 +195,8 @@
     Known { pool: PoolId, hosts: Vec<IssuerHost> },
     /// News of a routing table: all of it, or what changed.
     Table { pool: PoolId, whole: bool, hosts: Vec<IssuerHost> },
+    /// Another balancer of the tier says which host is slow.
+    Peer { pool: PoolId, word: SlowHost },
     /// The watch on it broke, or could not be had.
     TableLost { pool: PoolId },
     /// Another node's store, or an operator's command, sent this.
@@ -239,6 +242,8 @@
     Drop { auth: AuthId },
     /// The fronts may accept connections, or have to leave them waiting.
     Doors { open: bool },
+    /// Tell the other balancers of the tier which host is slow.
+    TellPeers(SlowHost),
     /// Watch a routing table, telling what was missed first.
     Watch { pool: PoolId },
     /// Let the old watch go and watch at this address, which tells the whole list first.
@@ -313,9 +318,22 @@
     pub longest_wait: Micros,
     /// How standing connections are moved towards balance.
     pub rebalance: rebalance::Setup,
+    /// The balancers of the tier may tell each other of slow hosts, at this price for 256 bytes a request.
+    pub peers: Option<f64>,
 }
 
 impl PoolSetup {
+    /// How its balancers may tell each other.
+    pub(super) fn peer_setup(&self) -> peers::Setup {
+        peers::Setup {
+            on: self.peers.is_some(),
+            price: self.peers.unwrap_or(0.0),
+            balancers: self.settings.balancers,
+            message_aim: self.settings.message_aim(),
+            holds: self.settings.word_holds(),
+        }
+    }
+
     /// What of this concerns rebalancing.
     pub(super) fn rebalance_terms(&self) -> rebalance::Terms {
         let Settings { classes, balancers, move_price, warm_up, .. } = &self.settings;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -228,6 +228,7 @@
                 self.ended(now, request, attempt, (outcome, answered), actions)
             }
             Event::Left { request } => self.settle(request),
+            Event::Told { server, took } => self.told(now, server, took),
             Event::Wake => {}
             Event::Probed { server, report, .. } => self.probed(now, server, report, actions),
         }
@@ -290,8 +291,8 @@
     }
 
     /// Asks again after a growing, jittered wait, the longer the more balancers may have failed with this
-    /// one, up to the time allowed between questions. Danger: calls are served in turn, and those that come again
-    /// sooner than all before them are done keep each other waiting until all of them fail, for good.
+    /// one, up to the time allowed between questions. Danger: calls are served in turn, and those that come
+    /// again sooner than all before them are done keep each other waiting until all of them fail, for good.
     fn list_failed(&mut self, now: Time) {
         if self.settings.must_ask {
             let most = self.settings.must_ask_in;
@@ -357,6 +358,16 @@
         }
     }
 
+    /// Another balancer's word of slow messages: the server is at its limit with what all hold there, and
+    /// takes no more of this one's. Danger: all hear it at once, and they must not all try it again at once.
+    fn told(&mut self, now: Time, id: ServerId, took: Micros) {
+        let late = took as f64 / self.message_aim.max(1) as f64;
+        let again = self.settings.word_holds() as f64 * self.rng.random::<f64>();
+        let Some(server) = self.servers.get_mut(&id).filter(|_| late >= SLOW) else { return };
+        server.known.ceiling = server.known.ceiling.min(server.held / (1.0 + late));
+        server.known.troubled = server.known.troubled.max(Some(now.plus(again as Micros)));
+    }
+
     /// A report sets the ceiling over what is held here by this balancer's part of the free capacity. Danger:
     /// of many balancers' parts each is next to nothing, against a few slots of a server never asked.
     fn probed(&mut self, now: Time, id: ServerId, report: Option<Report>, actions: &mut Vec<Action>) {
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -15,7 +15,8 @@
 use super::files::Files;
 use super::orders::{Order, Outgoing, WatchOrder};
 use super::record::Recorder;
-use crate::protocol::{gossip, Front};
+use crate::program::config::PeersAt;
+use crate::protocol::{gossip, peers, Front};
 use crate::routing::store::Gossip;
 use crate::routing::{reduce, Answer, AuthId, CallerId, Effect, Input, LegEnd, Legacy, Reply, State};
 use crate::{Micros, Time};
@@ -74,6 +75,8 @@
     /// most two orders a leg and one answer, so these stay short by themselves.
     connections: RefCell<HashMap<AuthId, mpsc::UnboundedSender<Order>>>,
     datagrams: RefCell<Option<Rc<UdpSocket>>>,
+    /// Where the other balancers of the tier are heard, and where all of them hear.
+    peers: RefCell<Option<(Rc<UdpSocket>, SocketAddr)>>,
     files: RefCell<Option<Files>>,
     /// For replays: what is seen, and when each authorisation was met.
     pub(super) observed: RefCell<Option<Observed>>,
@@ -108,6 +111,7 @@
             origin,
             connections: RefCell::default(),
             datagrams: RefCell::default(),
+            peers: RefCell::default(),
             files: RefCell::default(),
             observed: RefCell::default(),
             met: RefCell::default(),
@@ -152,6 +156,12 @@
                 Effect::Drop { auth } => self.order(auth, Order::Drop),
                 Effect::Doors { open } => drop(self.doors.send_replace(open)),
                 Effect::Answer { auth, answer } => self.order(auth, Order::Answer(answer)),
+                Effect::TellPeers(word) => {
+                    if let Some((socket, all)) = self.peers.borrow().as_ref() {
+                        // Words may be lost on the way, so they may be lost here.
+                        let _ = socket.try_send_to(&peers::write(word), *all);
+                    }
+                }
                 Effect::Watch { pool } => self.watch(WatchOrder::Again { pool }),
                 Effect::WatchAt { pool, discovery } => {
                     self.watch(WatchOrder::At { pool, discovery, generation: None })
@@ -256,6 +266,26 @@
         });
     }
 
+    /// Hears the other balancers of a pool's tier from now on, and tells them at this address.
+    pub fn hear_peers(self: &Rc<Self>, pool: usize, socket: UdpSocket, at: &PeersAt) {
+        let socket = Rc::new(socket);
+        *self.peers.borrow_mut() = Some((socket.clone(), at.all));
+        let (hub, known) = (self.clone(), at.from.clone());
+        tokio::task::spawn_local(async move {
+            let mut bytes = [0; peers::LONGEST + 1];
+            loop {
+                match socket.recv_from(&mut bytes).await {
+                    Ok((n, from)) => match peers::read(&bytes[..n]).filter(|_| known.contains(&from)) {
+                        Some(word) => hub.feed(Input::Peer { pool, word }),
+                        None => crate::log!(warn, "a datagram from {from} is none of the tier's"),
+                    },
+                    // As above.
+                    Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                }
+            }
+        });
+    }
+
     /// Keeps the store's entries in these files from now on.
     pub fn keep_in(&self, files: Files) {
         *self.files.borrow_mut() = Some(files);
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -57,6 +57,15 @@
     bind().map_err(|e| format!("cannot listen on {address}: {e}"))
 }
 
+/// Hears datagrams, also while the process before this one still does.
+fn hear_at(address: SocketAddr) -> std::io::Result<tokio::net::UdpSocket> {
+    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    tokio::net::UdpSocket::from_std(socket.into())
+}
+
 /// Between two tries to accept that fail: twice as long each time.
 const LEAST_PAUSE: Duration = Duration::from_millis(5);
 const MOST_PAUSE: Duration = Duration::from_millis(250);
@@ -271,6 +280,13 @@
             let generation = Some(shop.known.generation);
             hub.watch(WatchOrder::At { pool, discovery, generation });
         }
+        if let Some(at) = &shop.peers {
+            match hear_at(at.listen) {
+                Ok(socket) => hub.hear_peers(pool, socket, at),
+                // The others are a help; without them each learns by itself.
+                Err(problem) => crate::log!(warn, "the tier's other balancers are not heard: {problem}"),
+            }
+        }
         let listener = taken(&mut inherited, "platform", shop.listen)?;
         crate::log!(info, "{} listens on {}", shop.name, bound(&listener, shop.listen));
         let gate = Gate::open(&hub, "platform", shop.listen, listener, pool, platform_makes());
--- a/src/types.rs
+++ b/src/types.rs
@@ -144,6 +144,12 @@
     pub(crate) fn message_aim(&self) -> Micros {
         self.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0).min().unwrap_or(0)
     }
+
+    /// For about so long a server is avoided that another balancer tells of: twice the time in which the clients
+    /// that were refused for it come again.
+    pub(crate) fn word_holds(&self) -> Micros {
+        2 * self.max_retry_after
+    }
 }
 
 impl Default for Settings {
@@ -337,6 +343,13 @@
         /// The request.
         request: RequestId,
     },
+    /// Another balancer was told that a message takes so long at a server.
+    Told {
+        /// The server.
+        server: ServerId,
+        /// How long.
+        took: Micros,
+    },
     /// A wake-up that was asked for is due.
     Wake,
     /// A probe came back.
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -44,6 +44,7 @@
         tells_delay: true,
         longest_wait: WAIT,
         rebalance: rebalance::Setup::default(),
+        peers: None,
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -3,7 +3,7 @@
 mod standins;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -305,3 +305,42 @@
     assert!(calls[2].0 - calls[1].0 < Duration::from_secs(9), "it is late by more than a busy machine");
     assert!(calls[2].1.contains("?from=1&hold_ms=4000 "), "{}", calls[2].1);
 }
+
+/// A host's slow messages are told to the tier, once; what strangers send is nothing.
+#[test]
+fn a_slow_host_is_told_to_the_tier_and_a_word_of_the_tier_is_heeded() {
+    let ((first, _), (second, _)) = (host("UP 1", false), host("UP 2", false));
+    let (at, _) = discovery(Vec::new());
+    let tier = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let own = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port");
+    let all = tier.local_addr().expect("an address");
+    let peers = format!(r#""peer_listen": "{own}", "peers_all": "{all}", "peers": ["{own}", "{all}"],"#);
+    let settings =
+        r#""settings": {"family-info": {"tells-delay": true, "message-aim": [100]}, "balancers": 2,"#;
+    let hosts = [entry("s-00000001", first, "ready"), entry("s-00000002", second, "ready")];
+    let text = config(at, &list(1, true, &hosts)).replace(r#""settings": {"#, &format!("{peers} {settings}"));
+    let text = text.replace(r#""retry-after": true"#, r#""retry-after": true, "peers": true"#);
+    let daemon = Daemon::start(&irc_config(&[], ""), Some(&text));
+    tier.set_read_timeout(Some(LONG)).expect("a socket");
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    // Hosts send back what they are sent: a load, and then what can only be a message's time, of 400 ms.
+    let mut client = open(&daemon);
+    let at_first = client.line() == "UP 1";
+    for line in ["LOAD 90000", "LOAD 400"] {
+        client.say(line);
+        assert_eq!(client.line(), line);
+    }
+    let mut word = [0; 64];
+    let n = tier.recv(&mut word).expect("it is told");
+    let told = if at_first { 1 } else { 2 };
+    assert_eq!(word[..n], [b'1', 0, 0, 0, told, 1, 144]);
+    // The tier's word of the other host leaves none that takes a newcomer; a stranger's is not heard.
+    let other = [b'1', 0, 0, 0, 3 - told, 1, 144];
+    stranger.send_to(&other, own).expect("sent");
+    stranger.send_to(b"garbage", own).expect("sent");
+    daemon.log_line("is none of the tier's");
+    let mut served = open(&daemon);
+    assert!(served.line().starts_with("UP"), "the stranger's word was heard");
+    tier.send_to(&other, own).expect("sent");
+    until("newcomers are refused", || open(&daemon).line().starts_with("BUSY"));
+}
