Bear senseless weights and starts ahead: a panic in the draw, hosts left empty

Seen: a new test puts odd lists before the module. Weights of 1e308 each are finite, but their sum is not, and the draw panicked in random_range. A host whose start lies an hour ahead stayed cold for that hour: with a hundred balancers none of 200 clients, one a second, was placed.

At fault: weight and follow_list in rules.rs, which took both as listed. Change: from 1e9 on a weight is unknown; a start ahead counts as the time at which it was first heard, and a later start is still a new process. tests/fleet.rs fails without either.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,6 +58,8 @@
 const FAILURE_STEP: u32 = 2;
 /// Discovery bears so many calls in the time within which each balancer may ask, at first guess.
 const LIST_CALLS: u64 = 800;
+/// A weight from here on is no size.
+const MOST_WEIGHT: f64 = 1e9;
 /// A request is answered when this share of its time is left: the answer has to reach the client.
 const ANSWER_SHARE: u64 = 64;
 
@@ -67,6 +69,8 @@
 #[derive(Default)]
 struct Server {
     listed: Listed,
+    /// Its start, or when that was first heard if it lies ahead.
+    since: Option<Time>,
     /// Its process, numbered by this balancer: what an earlier one held is not released from a later.
     life: u64,
     /// x: connections held or being set up.
@@ -269,11 +273,16 @@
         }
         for entry in entries {
             self.lives += 1;
-            let fresh = Server { listed: *entry, life: self.lives, ..Server::default() };
+            // Danger: a start that lies ahead, by another clock, would keep its server cold until then.
+            let since = entry.started.map(|at| at.min(now));
+            let fresh = Server { listed: *entry, since, life: self.lives, ..Server::default() };
             match self.servers.get_mut(&entry.server) {
                 // A new process holds nothing of the old one's, and inherits neither good nor bad name.
                 Some(server) if entry.started > server.listed.started => *server = fresh,
-                Some(server) => server.listed = *entry,
+                Some(server) => {
+                    server.since = server.since.filter(|_| entry.started == server.listed.started).or(since);
+                    server.listed = *entry;
+                }
                 None => drop(self.servers.insert(entry.server, fresh)),
             }
         }
@@ -753,9 +762,9 @@
 }
 
 impl Server {
-    /// Danger: a list may carry no weight, or a nonsensical one.
+    /// Danger: a list may carry no weight, or a nonsensical one; sums of huge ones would be no number.
     fn weight(&self) -> f64 {
-        Some(self.listed.weight).filter(|weight| *weight > 0.0 && weight.is_finite()).unwrap_or(1.0)
+        Some(self.listed.weight).filter(|weight| *weight > 0.0 && *weight < MOST_WEIGHT).unwrap_or(1.0)
     }
 
     fn attempt(&self, number: u32, sent: Time) -> Attempt {
@@ -773,7 +782,7 @@
 
     /// Share of its capacity that it surely has by now.
     fn warmth(&self, settings: &Settings, now: Time) -> f64 {
-        let Some(started) = self.listed.started else { return 1.0 };
+        let Some(started) = self.since else { return 1.0 };
         let grown = now.since(started) as f64 / settings.warm_up.max(1) as f64;
         (settings.cold_share + (1.0 - settings.cold_share) * grown).clamp(0.01, 1.0)
     }
@@ -781,7 +790,7 @@
     /// While it is cold: keeps sends apart, the more the colder it is.
     fn space_out(&mut self, settings: &Settings, now: Time, gap: f64) {
         let warmth = self.warmth(settings, now);
-        let warm = self.listed.started.map_or(now, |at| at.plus(settings.warm_up));
+        let warm = self.since.map_or(now, |at| at.plus(settings.warm_up));
         self.known.next_cold_send = now.plus((gap / warmth) as Micros).min(warm);
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -205,7 +205,7 @@
     pub standing: Standing,
     /// Its latest start, if not long ago.
     pub started: Option<Time>,
-    /// Its size against the other servers'; anything not above 0 counts as unknown.
+    /// Its size against the other servers'; anything not above 0, or of 1e9 and more, counts as unknown.
     pub weight: f64,
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -114,3 +114,52 @@
     }
     assert!(stand >= CLIENTS * 9 / 10, "{stand} of {CLIENTS}, all of whom the store could serve in time");
 }
+
+/// Lists and settings that make little sense each get a definite answer at once: a server that takes new connections,
+/// or a refusal.
+#[test]
+fn odd_lists_and_numbers_of_balancers_get_a_definite_answer() {
+    let odd = |change: fn(&mut Listed)| -> Vec<Listed> {
+        let mut list = servers(3);
+        list.iter_mut().for_each(change);
+        list
+    };
+    let lists = [
+        (false, Vec::new()),
+        (false, odd(|host| host.standing = Standing::Draining)),
+        (false, odd(|host| host.standing = Standing::Gone)),
+        (true, odd(|host| host.started = Some(Time(START.0 - MS)))),
+        (true, odd(|host| host.started = Some(START))),
+        (true, odd(|host| host.started = Some(START.plus(3600 * SECOND)))),
+        (true, odd(|host| host.started = Some(Time(u64::MAX)))),
+        (true, odd(|host| host.weight = f64::NAN)),
+        (true, odd(|host| host.weight = -1e300)),
+        (true, odd(|host| host.weight = f64::INFINITY)),
+        (true, odd(|host| host.weight = 1e308)),
+    ];
+    for balancers in [0, 1, 100, u32::MAX] {
+        for (n, (served, list)) in lists.iter().enumerate() {
+            let settings = Settings { balancers, must_ask: true, ..settings() };
+            let mut bench = Bench::new(settings, list);
+            for _ in 0..30 {
+                bench.event(Event::ListFailed);
+            }
+            let mut placed = 0;
+            for _ in 0..200 {
+                let request = bench.arrive();
+                match bench.sent_to() {
+                    Some(server) => {
+                        assert!(list.iter().any(|l| l.server.0 == server && l.standing == Standing::Serving));
+                        placed += 1;
+                        bench.end(request, 0, Outcome::Ok, true);
+                    }
+                    None => assert!(bench.refused().is_some(), "list {n}, {balancers} balancers"),
+                }
+                bench.wait(SECOND);
+                bench.event(Event::Wake);
+            }
+            // A cold server may be kept for others for a while, but not for ever.
+            assert_eq!(placed > 0, *served, "list {n}, {balancers} balancers: {placed}");
+        }
+    }
+}
