Test a watch cut in its body: the list stays, and it is asked for again

Seen: it holds; the call on the same connection that broke off is made again at once on a new one, from the same generation, and clients are served from the list as it was. No source was changed.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -39,6 +39,9 @@
     (address, lines)
 }
 
+/// In place of a status: the answer breaks off in its body.
+const CUT: u16 = 0;
+
 /// Discovery: keeps when it was called with what, and answers each call by the next of these, then by none.
 fn discovery(answers: Vec<(u16, String)>) -> (SocketAddr, Calls) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -61,6 +64,12 @@
                             let _ = reader.read_to_end(&mut Vec::new());
                             return;
                         };
+                        if status == CUT {
+                            let head = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n", body.len());
+                            let _ = stream.write_all(&(head + &body).as_bytes()[..60]);
+                            let _ = stream.shutdown(Shutdown::Both);
+                            return;
+                        }
                         let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
                         let _ = stream.write_all((head + &body).as_bytes());
                     }
@@ -125,6 +134,18 @@
     assert!(new_lines.lock().unwrap()[0].contains(" 7f3a c=chat,d="));
 }
 
+#[test]
+fn a_watch_cut_in_its_body_changes_nothing_and_is_asked_for_again() {
+    let ((old, _), (new, _)) = (host("UP old", false), host("UP new", false));
+    let news = [entry("s-00000001", old, "gone"), entry("s-00000002", new, "ready")];
+    // What comes after it is a watch on which nothing happens.
+    let (at, calls) = discovery(vec![(CUT, list(2, false, &news))]);
+    let daemon = daemon(at, &list(1, true, &[entry("s-00000001", old, "ready")]));
+    until("it was asked again", || calls.lock().unwrap().len() >= 2);
+    assert!(calls.lock().unwrap().iter().all(|(_, call)| call.contains("from=1&")));
+    assert_eq!(open(&daemon).line(), "UP old");
+}
+
 #[test]
 fn lines_go_through_in_pieces_and_ends_go_through_both_ways() {
     let (shop, lines) = host("UP 1", false);
