Take words of listed hosts alone, and reckon list retries without overflow

Seen on reading the change again: a peer's words of hosts that no list names were noted, as many as came within 3 s; and list_failed multiplied two settings that a file may give any size. Change: a word counts where its host is listed; the products saturate. The odd weights stand once, in the older test of weights, with 1e308 added.

--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -243,7 +243,9 @@
                 }
             }
             Input::Peer { pool, word } => {
-                if self.pools[pool].peers.heard(now, word) {
+                // Danger: words of hosts that are not listed would fill the memory, and say nothing here.
+                let listed = self.pools[pool].table.any(word.host).is_some();
+                if listed && self.pools[pool].peers.heard(now, word) {
                     self.tell(now, pool, Event::Told { server: word.host, took: word.took });
                 }
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -305,8 +305,9 @@
     fn list_failed(&mut self, now: Time) {
         if self.settings.must_ask {
             let most = self.settings.must_ask_in;
-            let first = (most * u64::from(self.settings.balancers) / LIST_CALLS).clamp(most / 64, most / 4);
-            let wait = self.jitter((first << self.list_failures.min(6)).min(most));
+            let all = most.saturating_mul(self.settings.balancers.into());
+            let first = (all / LIST_CALLS).clamp(most / 64, most / 4);
+            let wait = self.jitter(first.saturating_mul(1 << self.list_failures.min(6)).min(most));
             self.list_failures += 1;
             self.subscribe_at = Some(now.plus(wait));
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -656,7 +656,7 @@
 
 #[test]
 fn weights_that_make_no_sense_count_as_unknown() {
-    for weight in [0.0, -3.0, f64::NAN, f64::INFINITY] {
+    for weight in [0.0, -3.0, f64::NAN, f64::INFINITY, 1e308] {
         let mut bench = Bench::new(settings(), &[Listed { weight, ..listed(1) }, listed(2)]);
         bench.arrive();
         assert_eq!((bench.ceiling(1), bench.ceiling(2)), (4.0, 4.0));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -132,9 +132,6 @@
         (true, odd(|host| host.started = Some(START))),
         (true, odd(|host| host.started = Some(START.plus(3600 * SECOND)))),
         (true, odd(|host| host.started = Some(Time(u64::MAX)))),
-        (true, odd(|host| host.weight = f64::NAN)),
-        (true, odd(|host| host.weight = -1e300)),
-        (true, odd(|host| host.weight = f64::INFINITY)),
         (true, odd(|host| host.weight = 1e308)),
     ];
     for balancers in [0, 1, 100, u32::MAX] {
