--- a/src/rules.rs
+++ b/src/rules.rs
@@ -63,7 +63,7 @@
 const GROUPS_PRIOR: f64 = 10.0;
 /// Groups remembered, after which each counts half: sizes change with those who come and go.
 const GROUPS_SEEN: f64 = 500.0;
-/// What another's word leaves: of a server's free room after a drop, of what is let in after a slow set-up.
+/// What is left: of free room at a server that another saw drop, of what is let in after a slow set-up.
 const WORD_LEAVES: f64 = 0.5;
 /// A request is answered when this share of its time is left: the answer has to reach the client.
 const ANSWER_SHARE: u64 = 64;
@@ -548,8 +548,8 @@
 
     /// Where a balancer's part of a cold server is less than one connection in its whole warm-up: the chance
     /// by which this one may be that, were the server warm. Each that comes earns it by the time since the
-    /// last, and goes to every server alike often: all together send no more than their parts. Danger: a part
-    /// saved up is mostly not there when it is wanted: a tenth was used, while the warm were overrun.
+    /// last. Drawn alike often, servers get their parts from all together, on the mean. Danger: a part saved
+    /// up is mostly not there when it is wanted: a tenth was used, while the warm were overrun.
     fn cold_part(&mut self, now: Time) -> Option<f64> {
         let earned = now.since(std::mem::replace(&mut self.picked, now)).min(self.settings.fall_window);
         let (gap, servers) = (self.cold_gap(), self.serving().count());
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -309,7 +309,7 @@
 }
 
 /// Seen on the bench's days with 300 balancers (`join+mass`, seed 202): while 25 to 49 of 70 hosts were cold, one to six
-/// of a hundred connections a second went to any of them, and the 20 warm ones dropped a hundred a second. Each balancer
+/// of a hundred connections a second went to any of them, and the 20 warm ones dropped 50 to 80 a second. Each balancer
 /// had saved up a three-hundredth of a cold host's budget, which stood unused at nearly all of them. And rule 4: cold hosts
 /// get no more than their budgets, all balancers together, however many come.
 #[test]
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -60,8 +60,8 @@
     assert_eq!(desk.put(Input::Tick), []);
 }
 
-/// A host that drops what stood is told of once, one that was about to leave is not; and who hears of it sends the next
-/// elsewhere.
+/// A host that drops what stood is told of once, one that was about to leave is not; and who hears of it has half of its
+/// free room there.
 #[test]
 fn a_drop_is_told_to_the_tier_and_heeded() {
     let words = |effects: &[Effect]| -> Vec<Word> {
