Probe hosts where settings allow, tell message times from loads, fill cold hosts by x0

In the 13th second one host was warm and three cold; each balancer might send a cold one a connection in 5 to 9 s. The warm one was filled to 39 connections; 26 were reset within five seconds, and nearly all were then refused.

Causes: (1) cold_gap rested on what a balancer itself held at a host, 3 to 7 connections, where 28 fill one; (2) probes were switched off by constants in program/config.rs and dropped in routing/mod.rs, so no x0 ever came, though the module can use it; (3) routing/standing.rs took each LOAD for a load, since with no load ever told none looks small beside the mean: message times of 150 ms counted as load, and slow hosts were not avoided. Ruled out: the pace (1.00 throughout), full hosts (no outcome of that kind), lists (followed as told).

Change: tells-load, probing and reporting are read; STATS is sent as the module decides, on a connection that is kept for the next; a cold host's budget rests on the part of a full host that reports tell, where they do.

--- a/model/src/day.rs
+++ b/model/src/day.rs
@@ -173,6 +173,8 @@
         drain_over: 0,
         silence: 5_000_000,
         tells_delay: world.tells_delay,
+        tells_load: true,
+        reports: Vec::new(),
         longest_wait: 3_200_000,
         rebalance: world.rebalance,
         peers: None,
--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -10,7 +10,7 @@
 use crate::protocol::irc;
 use crate::protocol::json::{self, Fault, Place};
 use crate::routing::store::LONGEST_NODE;
-use crate::routing::{stored_host, Budget, IssuerHost, Lifecycle, PoolSetup};
+use crate::routing::{stored_host, Budget, IssuerHost, Lifecycle, PoolSetup, MOST_PROBES};
 use crate::transport::MOST_CALLERS;
 use crate::{rebalance, Class, Micros, Repeat, Scope, Settings, Tenant, ZoneId};
 
@@ -87,9 +87,9 @@
 
     /// About a quarter of the descriptors is for connections without a leg, the rest for those with one, who
     /// take two each. Half of the memory is for the buffers of all of them: one each, two with a leg. The
-    /// operators' door, where there is one, has its own set aside.
-    pub fn budget(self, door: bool) -> Budget {
-        let own = Limits::OWN + if door { Limits::DOOR } else { 0 };
+    /// operators' door and probes of hosts, where there are any, have their own set aside.
+    pub fn budget(self, door: bool, probes: bool) -> Budget {
+        let own = Limits::OWN + if door { Limits::DOOR } else { 0 } + if probes { MOST_PROBES } else { 0 };
         let (free, memory) = (self.sockets - own, (self.memory_mb << 20) / 2);
         let most = memory / Limits::LEAST_BUFFER;
         // Danger: usual clients alone may hold a third of all descriptors, with a leg for each.
@@ -199,7 +199,8 @@
     // Both fronts share one process: the tighter limits hold.
     let limits = [platform.as_ref().map(|p| p.limits), operator_limits].into_iter().flatten();
     let mgmt = platform.as_ref().and_then(|p| p.mgmt).or(operator_mgmt).or(mgmt);
-    let budget = limits.reduce(Limits::tighter).unwrap_or_default().budget(mgmt.is_some());
+    let probes = platform.as_ref().is_some_and(|p| p.pool.settings.probes && p.pool.settings.probe_reports);
+    let budget = limits.reduce(Limits::tighter).unwrap_or_default().budget(mgmt.is_some(), probes);
     let config = Config { platform, irc, mgmt, store, budget, log };
     if config.platform.is_none() && config.irc.is_none() {
         return Err("no front to serve: give --config FILE, set NODE_CONFIG or give --irc FILE".to_owned());
@@ -349,6 +350,8 @@
             drain_over: root.at("drain_over_ms").millis(20_000_000)?,
             silence: 0,
             tells_delay: false,
+            tells_load: true,
+            reports: Vec::new(),
             longest_wait: give_up,
             rebalance: rebalance::Setup::default(),
             peers: None,
@@ -489,6 +492,8 @@
         drain_over: 0,
         silence: PLATFORM_SILENCE,
         tells_delay: info.at("tells-delay").flag(false)?,
+        tells_load: info.at("tells-load").flag(true)?,
+        reports: reports(settings)?,
         longest_wait: 0,
         rebalance: rebalance::Setup::default(),
         peers: None,
@@ -533,10 +538,9 @@
         // On sockets a list comes only when it is asked for, whatever the simulator does.
         must_ask: true,
         must_ask_in: rules.at("must-ask-in").millis(default.must_ask_in)?,
-        // No issuer host of this shop may be probed, nor does one report its load.
-        probes: false,
-        probe_reports: false,
-        probe_price: 0.0,
+        probes: limits.at("probing").flag(false)?,
+        probe_reports: !setup.reports.is_empty(),
+        probe_price: charges.at("probe").number(0.0)?,
         cross_zone_price: charges.at("cross-zone").number(0.0)?,
         move_price: charges.at("moves").number(0.0)?,
         cold_share: rules.at("cold-share").number(default.cold_share)?,
@@ -547,6 +551,18 @@
     Ok(setup)
 }
 
+/// Names under which the issuer hosts' reports hold load over capacity, on this wire, where a probe brings one.
+fn reports(settings: &Place<'_>) -> Result<Vec<&'static str>, Fault> {
+    let reporting = settings.at("reporting");
+    let fields = reporting.at("fields").texts()?;
+    let told = |name: &str| fields.iter().any(|field| field == name);
+    let asked = settings.at("family-info").at("report-x0").exists() && told("x0");
+    // In answers on sockets the short form is used as well.
+    let names = [("x0", asked), ("utilization", told("utilization")), ("util", told("utilization"))];
+    let off = reporting.at("how").text()?.is_none_or(|how| how == "off");
+    Ok(names.into_iter().filter(|(_, told)| *told && !off).map(|(name, _)| name).collect())
+}
+
 fn repeat(class: &Place<'_>) -> Result<Repeat, Fault> {
     let (place, group) = (class.at("repeat"), class.at("group"));
     let scope = match group.text()?.as_deref() {
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -9,8 +9,8 @@
 
 use super::lines::{Cut, Lines, Measure, Relay};
 use super::{hashed, Front, Step, LONGEST_LINE};
-use crate::routing::{Answer, Authorisation, LegEnd};
-use crate::Micros;
+use crate::routing::{Answer, Authorisation, LegEnd, ProbeEnd};
+use crate::{Micros, Report};
 
 /// The first line of an acquirer side.
 #[derive(Debug, PartialEq)]
@@ -115,6 +115,39 @@
     parsed.unwrap_or(Word::Other)
 }
 
+/// What asks an issuer host for its load.
+pub const PROBE: &[u8] = b"STATS\r\n";
+/// A host asked for so many times what it can do is believed; anything beyond is no figure.
+const MOST_LOAD: f64 = 1000.0;
+
+/// What a report tells of the load, under the first of these names that it holds. Danger: a figure that makes no
+/// sense, or one told twice, must make no host look better than it is, nor worse.
+fn report(pairs: &[(&[u8], &[u8])], names: &[&str]) -> Option<Report> {
+    let figure = |name: &str, most: f64| {
+        let mut told = pairs.iter().filter(|(key, _)| *key == name.as_bytes());
+        let (_, value) = told.next().filter(|_| told.next().is_none())?;
+        let figure = float::<_, f64, ContextError>.parse(*value).ok()?;
+        (0.0..=most).contains(&figure).then_some(figure)
+    };
+    let told = |name: &str| pairs.iter().any(|(key, _)| *key == name.as_bytes());
+    let name = names.iter().find(|name| told(name))?;
+    let utilisation = figure(name, MOST_LOAD)?;
+    Some(Report { utilisation, connections: figure("inflight", f64::MAX) })
+}
+
+/// Reads the answer to a probe, without the line's end.
+pub fn probe_answer(line: &[u8], names: &[&str]) -> ProbeEnd {
+    let pairs = opt(preceded(b' ', separated(0.., pair, b',')));
+    let mut answer = (alt((b"PONG".value(Some(true)), b"ERR".value(Some(false)), b"NO".value(None))), pairs);
+    let Ok((word, pairs)) = answer.parse(line) else { return ProbeEnd::Nothing };
+    let pairs: Vec<_> = pairs.unwrap_or_default();
+    match word {
+        Some(true) => ProbeEnd::Answered(report(&pairs, names)),
+        Some(false) => ProbeEnd::Error(report(&pairs, names)),
+        None => ProbeEnd::Unwanted,
+    }
+}
+
 #[derive(Debug, Default, PartialEq)]
 enum Phase {
     #[default]
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -11,6 +11,7 @@
 mod hosts;
 mod legs;
 mod moves;
+mod probes;
 mod sharing;
 mod standing;
 pub mod store;
@@ -21,6 +22,8 @@
 use std::net::SocketAddr;
 
 use handover::Partner;
+use probes::Probes;
+pub use probes::{ProbeEnd, MOST_PROBES};
 use store::Store;
 pub use table::{host_number, stored_host, IssuerHost, Lifecycle, RoutingTable};
 pub use words::*;
@@ -44,6 +47,7 @@
     rebalance: Rebalance,
     /// What balancers tell each other.
     peers: Peers,
+    probes: Probes,
     table: RoutingTable,
     /// The hosts as discovery or the operator's file lists them, before the store has its say.
     listed: BTreeMap<String, IssuerHost>,
@@ -148,6 +152,7 @@
             balancer: Balancer::new(setup.settings.clone(), setup.seed, now),
             peers: Peers::new(setup.peer_setup(), setup.seed),
             rebalance: Rebalance::new(setup.rebalance, setup.rebalance_terms(), setup.seed, now),
+            probes: Probes::default(),
             table: RoutingTable::default(),
             listed: BTreeMap::new(),
             counts: vec![Counts::default(); setup.classes.len()],
@@ -256,6 +261,7 @@
                     self.tell(now, pool, told);
                 }
             }
+            Input::Probed { pool, host, end } => self.probed(now, pool, host, end),
             Input::TableLost { pool } => {
                 self.weigh(now, pool, rebalance::Word::ListLost);
                 self.tell(now, pool, Event::ListFailed);
@@ -384,8 +390,7 @@
                     let wake = &mut self.pools[pool].wake;
                     *wake = Some(wake.map_or(at, |old| old.min(at)));
                 }
-                // No issuer host of this shop may be probed.
-                Action::Probe { .. } => {}
+                Action::Probe { server } => self.probe(pool, server),
                 Action::Log(text) => self.effects.push(Effect::Log(text)),
             }
         }
--- a/src/routing/standing.rs
+++ b/src/routing/standing.rs
@@ -29,8 +29,8 @@
         auth.asked = None;
     }
 
-    /// Danger: issuer hosts tell two figures by the same word, a connection's load and, every second while
-    /// it is long, the time that a message takes. Taken for a load, that time makes the heaviest host look
+    /// Danger: issuer hosts may tell two figures by the same word, a connection's load and, every second while
+    /// it is long, the time that a message takes. The settings say which of them are told. Taken for a load, that time makes the heaviest host look
     /// empty, and more is sent there.
     pub(super) fn told(&mut self, now: Time, id: AuthId, figure: f64) {
         let Some((pool_id, leg)) = self.auths.get(&id).and_then(|a| Some((a.pool, a.leg?))) else { return };
@@ -43,7 +43,8 @@
         let last = pool.slow.get(&leg.host).filter(|(at, _)| now.since(*at) <= SLOW_GAP);
         let goes_on =
             last.is_some_and(|&(_, took)| (took / SLOW_FACTOR..took * SLOW_FACTOR).contains(&figure));
-        let note = if pool.setup.tells_delay && (figure < mean * LEAST_LOAD || goes_on) {
+        let delay = figure < mean * LEAST_LOAD || goes_on || !pool.setup.tells_load;
+        let note = if pool.setup.tells_delay && delay {
             pool.slow.insert(leg.host, (now, figure));
             let took = (figure.max(0.0) * 1000.0) as Micros;
             pool.rebalance.take(now, Word::Delay { host: leg.host, took });
--- a/src/routing/words.rs
+++ b/src/routing/words.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 
 use super::store::{Entry, Gossip, Letter};
-use super::IssuerHost;
+use super::{IssuerHost, ProbeEnd};
 use crate::peers;
 pub use crate::AuthId;
-use crate::{rebalance, Learned, Micros, Settings, Time};
+use crate::{rebalance, Learned, Micros, ServerId, Settings, Time};
 
 /// Which of the pools of issuer hosts, each with its own routing table and balancer.
 pub type PoolId = usize;
@@ -194,6 +194,8 @@
     Table { pool: PoolId, whole: bool, hosts: Vec<IssuerHost> },
     /// Another balancer of the tier says what is slow.
     Peer { pool: PoolId, word: peers::Word },
+    /// A probe of an issuer host is over.
+    Probed { pool: PoolId, host: ServerId, end: ProbeEnd },
     /// The watch on it broke, or could not be had.
     TableLost { pool: PoolId },
     /// Another node's store, or an operator's command, sent this.
@@ -241,6 +243,9 @@
     Doors { open: bool },
     /// Tell the other balancers of the tier what is slow.
     TellPeers(peers::Word),
+    /// Ask a host for its load, which its report has under the first of these names that it holds, and wait so
+    /// long for the answer. It is to be told once, by [`Input::Probed`].
+    Probe { pool: PoolId, host: ServerId, address: String, names: Vec<&'static str>, wait: Micros },
     /// Watch a routing table, telling what was missed first.
     Watch { pool: PoolId },
     /// Let the old watch go and watch at this address, which tells the whole list first.
@@ -309,8 +314,11 @@
     pub drain_over: Micros,
     /// A standing connection whose host stays silent so long after a line is moved; 0 for never.
     pub silence: Micros,
-    /// Hosts tell how long messages take.
+    /// Hosts tell how long messages take, and by the same word what load a connection is.
     pub tells_delay: bool,
+    pub tells_load: bool,
+    /// Names under which a probe's answer may carry a host's load over its capacity, the best first.
+    pub reports: Vec<&'static str>,
     /// The longest that an acquirer side waits for its answer.
     pub longest_wait: Micros,
     /// How standing connections are moved towards balance.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -171,6 +171,8 @@
     /// How long trouble counts as "lately": the time in which refused clients come again, longer by as much
     /// as less than a slot a server is held, at most a few times as long.
     lately: Micros,
+    /// This balancer's part of the connections that fill a server, by reports; 0 where none tells.
+    part: f64,
     /// The most slots ever held in all, and the most servers at a time.
     most: (f64, f64),
     /// When a server was last looked for.
@@ -207,6 +209,7 @@
             list_failures: 0,
             probe_credit: 0.0,
             lately: settings.max_retry_after,
+            part: 0.0,
             most: (0.0, 0.0),
             picked: now,
             message_aim: settings.message_aim(),
@@ -414,15 +417,19 @@
     /// A report sets the ceiling over what is held here by this balancer's part of the free capacity. Danger:
     /// of many balancers' parts each is next to nothing, against a few slots of a server never asked.
     fn probed(&mut self, now: Time, id: ServerId, report: Option<Report>, actions: &mut Vec<Action>) {
-        let Some(mut report) = report.filter(|r| r.utilisation.is_finite() && r.utilisation >= 0.0) else {
-            return;
-        };
-        report.connections = report.connections.filter(|c| c.is_finite() && *c >= 0.0);
+        let sound = |figure: &f64| figure.is_finite() && *figure >= 0.0;
+        let Some(mut report) = report.filter(|r| sound(&r.utilisation)) else { return };
+        report.connections = report.connections.filter(sound);
         self.servers.entry(id).and_modify(|s| s.report = Some(report));
         // Connections that fill a server. One with little load tells little of that: lean on the fleet's.
-        let held = |s: &Server| s.report.map(|r| (r.connections.unwrap_or(s.held), r.utilisation));
-        let (all, loads) = self.serving().filter_map(held).fold((0.0, 0.0), |(a, b), (h, u)| (a + h, b + u));
+        let told = |s: &Server, own: f64| s.report.map(|r| r.connections.unwrap_or(own));
+        let all: f64 = self.serving().filter_map(|s| told(s, s.held)).sum();
+        let open: f64 = self.serving().filter_map(|s| told(s, s.open.len() as f64)).sum();
+        let loads: f64 = self.serving().filter_map(|s| Some(s.report?.utilisation)).sum();
         let usual = all / f64::max(loads, 0.01);
+        let sharers = report.connections.map_or(1, |_| self.settings.balancers.max(1));
+        self.part =
+            if loads >= self.settings.cold_share { open / loads / f64::from(sharers) } else { self.part };
         let lately = self.lately;
         let Some(server) = self.servers.get_mut(&id) else { return };
         let connections = report.connections.unwrap_or(server.held);
@@ -537,13 +544,13 @@
     }
 
     /// Danger (rule 4): a cold server shows all its slots free and would draw everything. Time between sends
-    /// to it, were it warm, such that it stands even if every balancer sends as much: it can hold at least
-    /// what all have held on the mean, and is filled no faster than over its warm-up. Danger: by what they
-    /// hold now it would be filled the slower the fewer the rest can take.
+    /// to it, were it warm, such that it stands even if every balancer sends as much: it is filled no faster
+    /// than over its warm-up, and holds what reports say, or else at least what all have held on the mean.
+    /// Danger: by what they hold now it would be filled the slower the fewer the rest can take.
     fn cold_gap(&self) -> f64 {
         let least = 1.0 / f64::from(self.settings.balancers.max(1));
-        let size = f64::max(least, self.most.0 / f64::max(1.0, self.most.1));
-        self.settings.warm_up as f64 / (self.settings.fall_multiple * size * COLD_SAFETY).max(0.01)
+        let size = f64::max(least, self.most.0 / f64::max(1.0, self.most.1)) * COLD_SAFETY;
+        self.settings.warm_up as f64 / (self.settings.fall_multiple * size.max(self.part)).max(0.01)
     }
 
     /// Where a balancer's part of a cold server is less than one connection in its whole warm-up: the chance
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -13,7 +13,7 @@
 
 use super::bans;
 use super::files::Files;
-use super::orders::{Order, Outgoing, WatchOrder};
+use super::orders::{Order, Outgoing, Probe, WatchOrder};
 use super::record::Recorder;
 use crate::program::config::PeersAt;
 use crate::protocol::{gossip, peers, Front};
@@ -84,6 +84,8 @@
     pub(super) recorder: RefCell<Option<Recorder>>,
     /// Danger: as with connections, a bounded channel could be full; the reducer asks once for each failure.
     watches: RefCell<Option<mpsc::UnboundedSender<WatchOrder>>>,
+    /// Where probes are ordered; the reducer has only so many out.
+    probes: RefCell<Option<mpsc::UnboundedSender<Probe>>>,
     /// Whether the fronts may accept.
     doors: watch_channel::Sender<bool>,
     next: Cell<u64>,
@@ -117,6 +119,7 @@
             met: RefCell::default(),
             recorder: RefCell::default(),
             watches: RefCell::default(),
+            probes: RefCell::default(),
             doors: watch_channel::Sender::new(true),
             next: Cell::new(0),
             callers: RefCell::default(),
@@ -162,6 +165,10 @@
                         let _ = socket.try_send_to(&peers::write(word), *all);
                     }
                 }
+                Effect::Probe { pool, host, address, names, wait } => {
+                    let wait = Duration::from_micros(wait);
+                    self.probe(Probe { pool, host, address, names, wait });
+                }
                 Effect::Watch { pool } => self.watch(WatchOrder::Again { pool }),
                 Effect::WatchAt { pool, discovery } => {
                     self.watch(WatchOrder::At { pool, discovery, generation: None })
@@ -422,6 +429,18 @@
         }
     }
 
+    /// Where probes are carried out from now on.
+    pub fn set_probes(&self, probes: mpsc::UnboundedSender<Probe>) {
+        *self.probes.borrow_mut() = Some(probes);
+    }
+
+    fn probe(&self, probe: Probe) {
+        if let Some(probes) = self.probes.borrow().as_ref() {
+            // It ends only with this process.
+            let _ = probes.send(probe);
+        }
+    }
+
     /// Tells the reducer whenever time has come to something.
     pub async fn keep_time(self: Rc<Self>) {
         loop {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod hub;
 mod orders;
+mod probes;
 mod record;
 mod replay;
 mod watch;
@@ -274,6 +275,9 @@
     }
     if let (Some(pool), Some(shop)) = (shop_pool, &config.platform) {
         if let Some(discovery) = shop.pool.discovery {
+            let (probes, orders) = mpsc::unbounded_channel();
+            hub.set_probes(probes);
+            tokio::task::spawn_local(probes::keep(hub.clone(), orders));
             let (watches, orders) = mpsc::unbounded_channel();
             hub.set_watches(watches);
             tokio::task::spawn_local(watch::keep(hub.clone(), orders));
--- a/src/transport/orders.rs
+++ b/src/transport/orders.rs
@@ -3,11 +3,12 @@
 
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 
 use crate::routing::{Answer, AuthId, CallerId, PoolId, Standing};
-use crate::Micros;
+use crate::{Micros, ServerId};
 
 /// What a connection's task is to do.
 #[derive(Debug)]
@@ -41,6 +42,16 @@
     Pass { auth: AuthId, pool: PoolId, standing: Box<Standing> },
 }
 
+/// A host is to be asked for its load.
+pub struct Probe {
+    pub pool: PoolId,
+    pub host: ServerId,
+    pub address: String,
+    /// Names under which its report may hold that.
+    pub names: Vec<&'static str>,
+    pub wait: Duration,
+}
+
 /// What is for the watches on routing tables.
 pub enum WatchOrder {
     /// Watch this pool's again, telling what was missed first.
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -49,13 +49,54 @@
     );
 }
 
+/// What the two deployments' settings say, as far as the program relies on it.
+#[test]
+fn both_deployments_settings_are_taken_as_they_say() {
+    let platform = |settings: &str| {
+        let text = format!(
+            r#"{{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "peer_listen": "127.0.0.1:3", "peers_all":
+               "127.0.0.1:4", "peers": ["127.0.0.1:3"], "settings": {{{settings}}}}}"#
+        );
+        parse_platform(text.as_bytes()).expect("sound")
+    };
+    let shop = platform(
+        r#""balancers": 300, "family-info": {"message-aim": [100], "tells-delay": true, "tells-load": true},
+           "limits": {"peers": true, "probing": false}, "reporting": {"fields": [], "how": "off"},
+           "charges": {"peer": 0.01}, "invariants": {"cold-share": 0.3, "tip-multiple": 4, "overload-for": 3000}"#,
+    );
+    assert!(shop.peers.is_some() && shop.pool.tells_load && shop.pool.reports.is_empty());
+    assert!(!shop.pool.settings.probes && !shop.pool.settings.probe_reports);
+    assert_eq!((shop.pool.settings.fall_multiple, shop.pool.settings.fall_window), (4.0, 3_000_000));
+    let meters = platform(
+        r#""balancers": 3, "family-info": {"message-aim": [100, 50, 100, 150], "tells-delay": true, "tells-load": false,
+           "report-x0": "load asked of the server over what it can do"},
+           "limits": {"peers": false, "probing": true, "connect-timeout": 100},
+           "reporting": {"fields": ["x0", "errors_per_s", "utilization"], "how": "on_probe"},
+           "charges": {"probe": 0.0021, "moves": 0.024},
+           "invariants": {"cold-share": 0.17, "tip-multiple": 3, "overload-for": 2000, "warm-up": 24000}"#,
+    );
+    assert!(meters.peers.is_none() && !meters.pool.tells_load && meters.pool.tells_delay);
+    assert_eq!(meters.pool.reports, ["x0", "utilization", "util"]);
+    let settings = &meters.pool.settings;
+    assert!(settings.probes && settings.probe_reports);
+    assert_eq!((settings.probe_price, settings.connect_timeout), (0.0021, 100_000));
+    assert_eq!((settings.cold_share, settings.warm_up), (0.17, 24_000_000));
+    // Without the word for it a report's `x0` is of something else.
+    let untold =
+        platform(r#""reporting": {"fields": ["x0"], "how": "on_probe"}, "limits": {"probing": true}"#);
+    assert!(untold.pool.reports.is_empty() && !untold.pool.settings.probe_reports);
+    let off =
+        platform(r#""reporting": {"fields": ["utilization"], "how": "off"}, "limits": {"probing": true}"#);
+    assert!(off.pool.reports.is_empty());
+}
+
 /// Danger: usual clients alone hold a third of the descriptors, and their legs as many again.
 #[test]
 fn budgets_follow_from_the_limits() {
     for (sockets, memory_mb) in [(256, 32), (1024, 32), (1024, 192), (64, 8), (65_536, 16)] {
-        let budget = Limits { sockets, memory_mb }.budget(true);
+        let budget = Limits { sockets, memory_mb }.budget(true, true);
         let all = budget.waiting + 2 * budget.held;
-        assert!(all + 20 <= sockets, "{budget:?} of {sockets}");
+        assert!(all + 36 <= sockets, "{budget:?} of {sockets}");
         assert!(all * budget.buffer <= memory_mb << 19, "{budget:?} of {memory_mb} MB");
         assert!(budget.held >= sockets / 3 || !(256..=1024).contains(&sockets), "{budget:?} of {sockets}");
         assert!(budget.waiting > 0 && budget.held > 0, "{budget:?}");
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -377,6 +377,48 @@
     assert!(few >= 3 && few + 1 >= all, "{few} sent with 4 left, {all} with 40");
 }
 
+/// Seen on the second site (`upgrade+hand`, seed 1): a balancer that held three of a host's connections sent a cold
+/// one a connection every nine seconds, while what hosts reported said that twenty-eight fill one.
+#[test]
+fn a_cold_server_is_filled_by_what_reports_say_fills_one() {
+    let settings = Settings { fall_multiple: 3.0, ..settings() };
+    let sends = |reported: bool| {
+        let mut bench = Bench::new(settings.clone(), &servers(4));
+        for n in 0..12 {
+            bench.open(1 + n % 4, None);
+        }
+        for server in 1..=4 {
+            // Three connections make an eighth of what it can do: twenty-four fill it.
+            let report = reported.then_some(Report { utilisation: 0.125, connections: None });
+            bench.event(Event::Probed { server: ServerId(server), outcome: Outcome::Ok, report });
+        }
+        bench.visit();
+        let draining = servers(4).into_iter().map(|s| Listed { standing: Standing::Draining, ..s });
+        let cold = Listed { started: Some(START), ..listed(5) };
+        bench.event(Event::ListChanged(&draining.chain([cold]).collect::<Vec<_>>()));
+        let mut sent = Vec::new();
+        while bench.now.since(START) < settings.warm_up {
+            bench.wait(50 * MS);
+            let request = bench.arrive();
+            if bench.sent_to() == Some(5) {
+                sent.push(bench.now);
+            }
+            bench.end(request, 0, Outcome::Ok, true);
+        }
+        sent
+    };
+    let (told, untold) = (sends(true), sends(false));
+    assert!(told.len() > 3 * untold.len(), "{} sent with reports, {} without", told.len(), untold.len());
+    for first in &told {
+        let window = settings.fall_window;
+        let sent = told.iter().filter(|at| *at >= first && at.since(*first) < window).count();
+        let age = first.plus(window).since(START) as f64 / settings.warm_up as f64;
+        let warmth = (settings.cold_share + (1.0 - settings.cold_share) * age).min(1.0);
+        let bears = settings.fall_multiple * warmth * 24.0 * window as f64 / settings.warm_up as f64;
+        assert!(sent as f64 <= bears + 1.0, "{sent} in a window in which it bears {bears:.1}");
+    }
+}
+
 /// Incident r256aba: a balancer that had just started placed 30 of 63 returning clients at the one host of its
 /// own zone, which then dropped 21 of them at once.
 #[test]
--- a/tests/desk/mod.rs
+++ b/tests/desk/mod.rs
@@ -42,6 +42,8 @@
         drain_over: 0,
         silence: 5_000_000,
         tells_delay: true,
+        tells_load: true,
+        reports: Vec::new(),
         longest_wait: WAIT,
         rebalance: rebalance::Setup::default(),
         peers: None,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -134,6 +134,87 @@
     assert!(new_lines.lock().unwrap()[0].contains(" 7f3a c=chat,d="));
 }
 
+/// What a host says to a probe, or nothing for ever.
+fn probed_host(answers: &'static [&'static str]) -> (SocketAddr, Lines, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (address, lines) = (listener.local_addr().expect("an address"), Lines::default());
+    let (kept, probing) = (lines.clone(), Arc::new(AtomicUsize::new(0)));
+    let (count, next) = (probing.clone(), Arc::new(AtomicUsize::new(0)));
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (kept, count, next) = (kept.clone(), count.clone(), next.clone());
+            std::thread::spawn(move || {
+                let mut probes = 0;
+                for line in BufReader::new(stream.try_clone().expect("a clone")).lines().map_while(Result::ok)
+                {
+                    kept.lock().unwrap().push(line.clone());
+                    if line != "STATS" {
+                        let _ = stream.write_all(b"UP 1\r\n");
+                        continue;
+                    }
+                    if probes == 0 {
+                        count.fetch_add(1, Ordering::Relaxed);
+                    }
+                    probes += 1;
+                    let answer = answers.get(next.fetch_add(1, Ordering::Relaxed) % answers.len().max(1));
+                    if let Some(answer) = answer {
+                        let _ = stream.write_all(format!("{answer}\r\n").as_bytes());
+                    }
+                }
+            });
+        }
+    });
+    (address, lines, probing)
+}
+
+fn probing_daemon(shop: SocketAddr) -> Daemon {
+    let (at, _) = discovery(Vec::new());
+    let known = list(1, true, &[entry("s-00000001", shop, "ready")]);
+    let more = r#""family-info": {"report-x0": "load"}, "reporting": {"how": "on_probe", "fields": ["x0"]}, "zones""#;
+    let text = config(at, &known).replacen(r#""zones""#, more, 1);
+    let text = text.replacen(
+        r#""limits": {"connect-timeout": 2000"#,
+        r#""limits": {"probing": true, "connect-timeout": 50"#,
+        1,
+    );
+    Daemon::start(&irc_config(&[], ""), Some(&text))
+}
+
+/// Where the settings say so a host is asked for its load, on one connection that is kept for the next probe.
+#[test]
+fn hosts_are_probed_on_a_connection_that_is_kept() {
+    let (shop, lines, connections) = probed_host(&["PONG x0=0.3,errors_per_s=0,utilization=0.2"]);
+    let daemon = probing_daemon(shop);
+    let count = || lines.lock().unwrap().iter().filter(|line| *line == "STATS").count();
+    let mut clients = Vec::new();
+    until("it was probed five times", || {
+        clients.push(open(&daemon));
+        assert_eq!(clients.last_mut().expect("one").line(), "UP 1");
+        count() >= 5
+    });
+    assert_eq!(connections.load(Ordering::Relaxed), 1, "connections that carried probes");
+}
+
+/// Danger: whatever a host says to a probe, its clients are served, and what makes no sense changes nothing.
+#[test]
+fn senseless_answers_to_probes_stop_nothing() {
+    let odd: &[&str] =
+        &["PONG x0=NaN", "PONG x0=-1", "PONG x0=1e999", "PONG x0=0,x0=0", "PONG", "ERR", "UP 7", "PONG x0="];
+    let none: &[&str] = &[];
+    for answers in [odd, none, &["NO"]] {
+        let (shop, lines, _) = probed_host(answers);
+        let daemon = probing_daemon(shop);
+        let wanted = answers.len().max(1);
+        let mut clients = Vec::new();
+        until("it was probed", || {
+            clients.push(open(&daemon));
+            assert_eq!(clients.last_mut().expect("one").line(), "UP 1");
+            lines.lock().unwrap().iter().filter(|line| *line == "STATS").count() >= wanted
+        });
+        assert_eq!(open(&daemon).line(), "UP 1", "after {answers:?}");
+    }
+}
+
 #[test]
 fn a_watch_cut_in_its_body_changes_nothing_and_is_asked_for_again() {
     let ((old, _), (new, _)) = (host("UP old", false), host("UP new", false));
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -5,7 +5,7 @@
 use desk::{ask, Desk, HOSTS, WAIT};
 use sagemount::peers::{News, Word};
 use sagemount::routing::*;
-use sagemount::{Class, Repeat};
+use sagemount::{Class, Repeat, Report, ServerId};
 
 /// Seen on the bench: hosts tell a message's time by the same word as a load. Taken for a load it made the
 /// slowest host look empty (a calm day kept 0.68 of the simulator's result, 0.99 since).
@@ -26,6 +26,101 @@
     assert!(moved > 0, "no connection left a host that is slow");
 }
 
+/// Seen on the second site, whose hosts tell no loads: messages that took 99 ms were taken for loads, and nobody
+/// left the host.
+#[test]
+fn where_no_loads_are_told_every_figure_is_a_message_time() {
+    let moved = |tells_load: bool| {
+        let mut desk = Desk::new();
+        let setup = PoolSetup { tells_load, ..desk::setup() };
+        desk.put(Input::Configure { pools: vec![setup], peers: Vec::new(), budget: desk::BUDGET });
+        let auths: Vec<AuthId> = (0..12).map(|_| desk.standing()).collect();
+        let mut moved = 0;
+        for second in 0..20 {
+            desk.pass(1_000_000);
+            let effects = desk.put(Input::Load { auth: auths[0], load: 99.0 + f64::from(second) });
+            moved +=
+                effects.iter().filter(|e| matches!(e, Effect::Answer { answer: Answer::Moved, .. })).count();
+        }
+        moved
+    };
+    assert!(moved(false) > 0, "no connection left a host that is slow");
+    assert_eq!(moved(true), 0, "a load is no message time");
+}
+
+/// A desk whose hosts may be probed, and the probes among effects.
+fn probing() -> Desk {
+    let mut desk = Desk::new();
+    let mut setup = desk::setup();
+    (setup.settings.probes, setup.settings.probe_reports, setup.reports) = (true, true, vec!["x0"]);
+    desk.put(Input::Configure { pools: vec![setup], peers: Vec::new(), budget: desk::BUDGET });
+    desk
+}
+
+fn probed(effects: &[Effect]) -> Vec<ServerId> {
+    let host = |effect: &Effect| if let Effect::Probe { host, .. } = effect { Some(*host) } else { None };
+    effects.iter().filter_map(host).collect()
+}
+
+fn report(utilisation: f64) -> ProbeEnd {
+    ProbeEnd::Answered(Some(Report { utilisation, connections: None }))
+}
+
+/// Has this many connections come to stand, each with a minute after it, and tells which hosts were probed.
+fn probed_by(desk: &mut Desk, connections: usize) -> Vec<ServerId> {
+    let mut hosts = Vec::new();
+    for _ in 0..connections {
+        let (auth, _) = desk.written();
+        hosts.extend(probed(&desk.put(Input::LegUp { auth, leg: 0 })));
+        desk.pass(60_000_000);
+    }
+    hosts
+}
+
+/// Danger: a host that does not answer has enough to do, and one that leaves may be sent nothing new.
+#[test]
+fn a_host_is_probed_once_at_a_time_and_not_when_it_leaves() {
+    let mut desk = probing();
+    let mut first = probed_by(&mut desk, 30);
+    first.sort();
+    assert_eq!(first, [1, 2, 3, 4, 5].map(ServerId), "each once, as none has answered");
+    desk.put(Input::Probed { pool: 0, host: ServerId(2), end: ProbeEnd::Nothing });
+    desk.put(Input::Probed { pool: 0, host: ServerId(3), end: ProbeEnd::Nothing });
+    desk.drain(1);
+    let again = probed_by(&mut desk, 10);
+    assert!(again.contains(&ServerId(3)) && again.iter().all(|host| *host == ServerId(3)), "{again:?}");
+}
+
+/// A host that does not want to be probed is left alone until it has started again.
+#[test]
+fn a_host_that_says_no_to_probes_is_not_asked_again() {
+    let mut desk = probing();
+    for host in probed_by(&mut desk, 10) {
+        desk.put(Input::Probed { pool: 0, host, end: ProbeEnd::Unwanted });
+    }
+    assert_eq!(probed_by(&mut desk, 10), []);
+    desk.restarted(0);
+    assert_eq!(probed_by(&mut desk, 10), [ServerId(1)]);
+}
+
+/// Danger: a host that has started again is cold, and what it told before would make it look idle; and one that is
+/// told to be too full is not sent more.
+#[test]
+fn a_report_counts_for_the_process_that_gave_it() {
+    let full = |restarts: bool| {
+        let mut desk = probing();
+        probed_by(&mut desk, 10);
+        if restarts {
+            desk.restarted(0);
+        }
+        desk.pass(60_000_000);
+        desk.put(Input::Probed { pool: 0, host: ServerId(1), end: report(3.0) });
+        (0..10).filter(|_| desk.written().1 == 0).count()
+    };
+    assert_eq!(full(false), 0, "it is asked three times what it can do");
+    assert!(full(true) > 0, "that was the process before");
+}
+
 /// Danger: a leg that waits for its connection must not write to a host told to be draining meanwhile.
 #[test]
 fn an_unwritten_leg_is_closed_when_its_host_drains_and_goes_elsewhere() {
