Use each report once, shorten cold hosts' waits, move only to room that is in use

Causes, in src/rules.rs: probed set the ceiling over what was held by then with each probe, though reports come again unchanged for up to 1.1 s; its part of what fills a host took cold hosts' loads for warm ones'; move_some counted cold hosts' room as if they were warm and open; follow_list's first wait was kept whatever was learned later. Ruled out: the pace (1.00), full hosts, words of drops (no peers there).

Change: a report counts once, over what was held when the last one came, by the part of a full host that all reports tell; waits shorten as the gap does; half of the rule's slack is added to cold budgets where reports tell what fills a host.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,18 +42,17 @@
 const OWN_MORE: f64 = 1.25;
 /// Between two moves off one server: what the first did has to show before the next.
 const MOVE_GAP: Micros = 500_000;
-/// A balancer moves one for so many slots that it holds on a hot server: enough to cool it within seconds,
-/// few enough that the moved do not go from one hot server to the next.
+/// One is moved for so many slots held on a hot server: enough to cool it, too few to heat the next.
 const MOVE_SLOTS: f64 = 8.0;
 /// Probes may cost this share of all worth.
 const PROBE_SPEND: f64 = 0.004;
-/// A cold server gets this share of what would push it over if all balancers did the same: the
-/// others may judge by other occupancies.
+/// All together use this share of what a cold server bears where what others hold there is a guess.
 const COLD_SAFETY: f64 = 0.5;
+/// A cold server falls at three roots of what it is due in a window, and three, beyond that.
+const SLACK: (f64, f64) = (3.0 / 2.0, 3.0);
 /// So many times "lately" a server that had trouble is taken to be at its limit.
 const LONG: Micros = 4;
-/// A failure counts twice what a start takes back: a server that accepts and then drops must not pass
-/// for sound.
+/// A failure counts twice what a start takes back: who accepts and then drops must not pass for sound.
 const FAILURE_STEP: u32 = 2;
 /// Discovery bears so many calls in the time within which each balancer may ask, at first guess.
 const LIST_CALLS: u64 = 800;
@@ -88,8 +87,11 @@
     opening: u32,
     /// Its ceiling, its health and what else was learned.
     known: Learned,
-    /// Its last load report.
+    /// Its last load report, and what was held here when that came.
     report: Option<Report>,
+    then: f64,
+    /// Time between sends were it warm, when it was last sent to.
+    gap: f64,
     /// When its load was last asked for.
     probed: Option<Time>,
 }
@@ -168,8 +170,7 @@
     list_failures: u32,
     /// Probes that started connections have paid for.
     probe_credit: f64,
-    /// How long trouble counts as "lately": the time in which refused clients come again, longer by as much
-    /// as less than a slot a server is held, at most a few times as long.
+    /// How long trouble counts as "lately": as long as refused clients stay away, more where little is held.
     lately: Micros,
     /// This balancer's part of the connections that fill a server, by reports; 0 where none tells.
     part: f64,
@@ -186,8 +187,7 @@
     /// How many connections of each group were seen to stand, here or in others' samples, and of all.
     groups: BTreeMap<GroupMark, f64>,
     groups_seen: f64,
-    /// The share of new connections that are let in: more would be too many for what all servers share, such
-    /// as a session store. As of when, and when it was last cut.
+    /// The share of new connections let in, for what all servers share; as of when, and when it was cut.
     pace: f64,
     pace_at: Time,
     slowed: Option<Time>,
@@ -288,7 +288,7 @@
     }
     /// ...which takes that in for each server of its list.
     pub fn learn(&mut self, server: ServerId, known: Learned) {
-        self.servers.entry(server).and_modify(|s| s.known = known);
+        self.servers.entry(server).and_modify(|s| (s.known, s.gap) = (known, 0.0));
     }
 
     /// Whether the pick avoids a listed server now: it failed, or is in trouble and has no room.
@@ -325,16 +325,15 @@
         let mean = weights.sum::<f64>() / self.serving().count().max(1) as f64;
         let gap = self.cold_gap();
         for server in self.servers.values_mut().filter(|s| s.known.ceiling == 0.0) {
+            // Danger (rule 4): balancers that hear of a cold server together must not begin together.
+            server.space_out(&self.settings, now, gap, self.rng.random());
             server.known.ceiling =
                 (FEW * server.weight() / mean.max(f64::MIN_POSITIVE)).clamp(1.0, FEW * FEW);
-            // Danger (rule 4): balancers that hear of a cold server together must not begin together.
-            server.space_out(&self.settings, now, gap * self.rng.random::<f64>());
         }
     }
 
-    /// Asks again after a growing, jittered wait, the longer the more balancers may have failed with this
-    /// one, up to the time allowed between questions. Danger: calls are served in turn, and those that come
-    /// again sooner than all before them are done keep each other waiting until all of them fail, for good.
+    /// Asks again after a growing, jittered wait, the longer the more balancers may have failed as well.
+    /// Danger: calls are served in turn; such as come again before that keep each other waiting, for good.
     fn list_failed(&mut self, now: Time) {
         if self.settings.must_ask {
             let most = self.settings.must_ask_in;
@@ -382,20 +381,18 @@
             }
             request.slots = slots;
         }
-        if let Note::MessageTime(took) = note {
+        if let (Note::MessageTime(took), true) = (note, self.message_aim > 0) {
             // Danger: worth is lost to slow messages long before a server refuses or drops.
-            let late = took as f64 / self.message_aim.max(1) as f64;
-            if self.message_aim > 0 {
-                // Each word measures what is held now. Danger: cut anew from the last cut, a ceiling would
-                // come to nothing while the work that had piled up is done, and stay there when it is.
-                let keep = if late >= SLOW { 1.0 / (1.0 + late) } else { 1.0 };
-                server.known.ceiling = server.held * keep;
-                if late >= SLOW {
-                    server.known.troubled = Some(now);
-                }
-                if late >= TOO_SLOW {
-                    self.move_some(now, attempt.server, late, actions);
-                }
+            let late = took as f64 / self.message_aim as f64;
+            // Each word measures what is held now. Danger: cut anew from the last cut, a ceiling would come
+            // to nothing while the work that had piled up is done, and stay there when it is.
+            let keep = if late >= SLOW { 1.0 / (1.0 + late) } else { 1.0 };
+            server.known.ceiling = server.held * keep;
+            if late >= SLOW {
+                server.known.troubled = Some(now);
+            }
+            if late >= TOO_SLOW {
+                self.move_some(now, attempt.server, late, actions);
             }
         }
     }
@@ -417,29 +414,24 @@
     /// A report sets the ceiling over what is held here by this balancer's part of the free capacity. Danger:
     /// of many balancers' parts each is next to nothing, against a few slots of a server never asked.
     fn probed(&mut self, now: Time, id: ServerId, report: Option<Report>, actions: &mut Vec<Action>) {
-        let sound = |figure: &f64| figure.is_finite() && *figure >= 0.0;
-        let Some(mut report) = report.filter(|r| sound(&r.utilisation)) else { return };
-        report.connections = report.connections.filter(sound);
-        self.servers.entry(id).and_modify(|s| s.report = Some(report));
-        // Connections that fill a server. One with little load tells little of that: lean on the fleet's.
-        let told = |s: &Server, own: f64| s.report.map(|r| r.connections.unwrap_or(own));
-        let all: f64 = self.serving().filter_map(|s| told(s, s.held)).sum();
-        let open: f64 = self.serving().filter_map(|s| told(s, s.open.len() as f64)).sum();
-        let loads: f64 = self.serving().filter_map(|s| Some(s.report?.utilisation)).sum();
-        let usual = all / f64::max(loads, 0.01);
-        let sharers = report.connections.map_or(1, |_| self.settings.balancers.max(1));
-        self.part =
-            if loads >= self.settings.cold_share { open / loads / f64::from(sharers) } else { self.part };
-        let lately = self.lately;
+        let Some(report) = report.and_then(Report::sound) else { return };
+        // Danger: a report is some time old, so what has come since the last one is not taken to be in it;
+        // and one that says the same again may be the same.
+        let Some(server) = self.servers.get_mut(&id).filter(|s| s.report != Some(report)) else { return };
+        server.report = Some(report);
+        let then = std::mem::replace(&mut server.then, server.held).min(server.held);
+        // What fills a server that is warm. Too little load tells nothing of that.
+        let told = || self.serving().filter_map(|s| Some((s, s.report?)));
+        let open: f64 = told().map(|(s, r)| r.connections.unwrap_or(s.open.len() as f64)).sum();
+        let loads: f64 = told().map(|(s, r)| r.utilisation * s.warmth(&self.settings, now)).sum();
+        let sharers = f64::from(report.connections.map_or(1, |_| self.settings.balancers.max(1)));
+        self.part = if loads < 0.1 { self.part } else { open / loads / sharers };
+        let free = (NEAR_FULL - report.utilisation) * self.part.max(FEW);
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let connections = report.connections.unwrap_or(server.held);
-        let full = (connections + usual) / (report.utilisation + 1.0);
-        let part = full / f64::from(self.settings.balancers.max(1));
-        let free = (NEAR_FULL - report.utilisation) * part.max(FEW);
         if report.utilisation >= NEAR_FULL {
             server.lower(now, NEAR_FULL / f64::max(1.0, report.utilisation));
-        } else if server.calm(now, lately) {
-            server.known.ceiling = server.held + free;
+        } else if server.calm(now, self.lately) {
+            server.known.ceiling = then + free;
         }
         if report.utilisation >= 1.0 {
             self.move_some(now, id, 0.0, actions);
@@ -460,8 +452,10 @@
         // Danger: every hot server may give up some, at every balancer: there must be room for all those.
         let (calm, hot): (Vec<_>, Vec<_>) =
             self.serving().partition(|s| s.calm(now, self.lately) && s.known.failures == 0);
-        let most = |s: &&Server| s.known.ceiling + s.overflow(now, self.lately, FEW) - s.held;
-        let room: f64 = calm.iter().map(most).map(|room| room.max(0.0)).sum();
+        let ceiling = |s: &Server| s.known.ceiling * s.warmth(&self.settings, now);
+        let most = |s: &&Server| ceiling(s) + s.overflow(now, self.lately, FEW) - s.held;
+        let open = calm.iter().filter(|s| now >= s.known.next_cold_send);
+        let room: f64 = open.map(most).map(|room| room.max(0.0)).sum();
         let relief = |id: &RequestId| {
             let request = self.requests.get(id).filter(|r| !r.moved)?;
             // Worth alone says nothing of the relief: where no loads are told all count alike.
@@ -481,7 +475,7 @@
         }
     }
 
-    // ---- Groups ----
+    // ---- Groups and pace ----
 
     /// A connection stands somewhere, of this group if of any.
     fn see(&mut self, group: Option<GroupMark>) {
@@ -501,8 +495,6 @@
         (seen / (self.groups_seen + GROUPS_PRIOR) * servers).ceil().max(1.0) as usize
     }
 
-    // ---- Pace ----
-
     /// Set-ups are slow, or fail alike at servers that have only the fleet in common: fewer are let in.
     fn slow_down(&mut self, now: Time) {
         self.speed_up(now);
@@ -544,19 +536,21 @@
     }
 
     /// Danger (rule 4): a cold server shows all its slots free and would draw everything. Time between sends
-    /// to it, were it warm, such that it stands even if every balancer sends as much: it is filled no faster
-    /// than over its warm-up, and holds what reports say, or else at least what all have held on the mean.
-    /// Danger: by what they hold now it would be filled the slower the fewer the rest can take.
+    /// to it, were it warm, such that it stands if every balancer does so: it is filled over its warm-up, and
+    /// holds what reports say, or else at least what all have held. By what is held now it fills too late.
     fn cold_gap(&self) -> f64 {
-        let least = 1.0 / f64::from(self.settings.balancers.max(1));
-        let size = f64::max(least, self.most.0 / f64::max(1.0, self.most.1)) * COLD_SAFETY;
-        self.settings.warm_up as f64 / (self.settings.fall_multiple * size.max(self.part)).max(0.01)
+        let (all, warm_up) = (f64::from(self.settings.balancers.max(1)), self.settings.warm_up as f64);
+        let size = f64::max(1.0 / all, self.most.0 / f64::max(1.0, self.most.1)) * COLD_SAFETY;
+        // What all may send it in a window were it warm, and half of the rule's slack, less one from each.
+        let rate = self.settings.fall_multiple / warm_up.max(1.0);
+        let due = (rate * self.settings.fall_window as f64 * self.part * all).max(1.0);
+        let slack = (SLACK.0 * due.sqrt() + SLACK.1 - all).max(0.0);
+        1.0 / (rate * size.max(self.part * (1.0 + slack / due))).max(0.01 / warm_up.max(1.0))
     }
 
     /// Where a balancer's part of a cold server is less than one connection in its whole warm-up: the chance
-    /// by which this one may be that, were the server warm. Each that comes earns it by the time since the
-    /// last. Drawn alike often, servers get their parts from all together, on the mean. Danger: a part saved
-    /// up is mostly not there when it is wanted: a tenth was used, while the warm were overrun.
+    /// by which this one may be that, were the server warm, by the time since the last: from all together it
+    /// gets its part on the mean. Danger: a part saved up is mostly not there when it is wanted.
     fn cold_part(&mut self, now: Time) -> Option<f64> {
         let earned = now.since(std::mem::replace(&mut self.picked, now)).min(self.settings.fall_window);
         let (gap, servers) = (self.cold_gap(), self.serving().count());
@@ -568,7 +562,7 @@
     /// DEPARTURES: a group goes to servers with room that hold it already, and else to as many as it fills,
     /// the same at every balancer; where crossing zones costs, the own zone's with room come first.
     fn pick(&mut self, now: Time, id: RequestId) -> Option<ServerId> {
-        let cold_part = self.cold_part(now);
+        let (cold_part, gap) = (self.cold_part(now), self.cold_gap());
         let request = self.requests.get(&id)?;
         let repeat = self.repeat(request.class);
         let mut lots = Vec::with_capacity(self.servers.len());
@@ -578,6 +572,7 @@
             all += 1.0;
             held += s.held;
             let warmth = s.warmth(&self.settings, now);
+            s.shorten(now, gap);
             let chance = cold_part.filter(|_| warmth < 1.0).map(|part| (part * warmth).min(1.0));
             let ready = chance.map_or(now >= s.known.next_cold_send, |chance| self.rng.random_bool(chance));
             let elsewhere = request.failed_at != Some(s.listed.server) && request.may_go(repeat, now, s);
@@ -703,16 +698,15 @@
         let (Some(request), Some(server)) = (self.requests.get_mut(&id), self.servers.get_mut(&to)) else {
             return;
         };
-        server.space_out(&self.settings, now, gap);
+        server.space_out(&self.settings, now, gap, 1.0);
         server.hold(request.group, request.slots);
         server.opening += 1;
         let failing = server.known.failures > 0;
         let filled = server.held >= server.known.ceiling;
         request.out = Some(Attempt { filled, ..server.attempt(request.attempts, now) });
         request.attempts += 1;
-        // Danger: given up half way to try another server, it is set up all the same, for nobody. Where what
-        // all servers share is slow, such as a session store, twice the work then comes to it, most of it
-        // in vain. A server that is not there at all is known by the connection that does not come up.
+        // Danger: given up half way, it is set up all the same, for nobody: twice the work, mostly in vain,
+        // for a slow session store. One that is not there is known by the connection that does not come up.
         let timeout = request.due.since(now).max(1);
         actions.push(Action::Send { request: id, server: to, timeout });
         if failing {
@@ -843,8 +837,7 @@
         }
     }
 
-    /// Connections that start pay for probes, so that their price stays a fixed small share of all worth.
-    /// Danger: under overload refused clients come again and again; they must not pay each time.
+    /// Connections that start pay for probes, a fixed small share of all worth; those refused do not.
     fn spend_probes(&mut self, now: Time, actions: &mut Vec<Action>) {
         if !(self.settings.probes && self.settings.probe_reports) {
             return;
@@ -883,11 +876,19 @@
         (settings.cold_share + (1.0 - settings.cold_share) * grown).clamp(0.01, 1.0)
     }
 
-    /// While it is cold: keeps sends apart, the more the colder it is.
-    fn space_out(&mut self, settings: &Settings, now: Time, gap: f64) {
-        let warmth = self.warmth(settings, now);
+    /// While it is cold: keeps sends apart, the more the colder it is; at first a share of that.
+    fn space_out(&mut self, settings: &Settings, now: Time, gap: f64, share: f64) {
+        let wait = gap * share / self.warmth(settings, now);
         let warm = self.since.map_or(now, |at| at.plus(settings.warm_up));
-        self.known.next_cold_send = now.plus((gap / warmth) as Micros).min(warm);
+        (self.gap, self.known.next_cold_send) = (gap, now.plus(wait as Micros).min(warm));
+    }
+
+    /// Danger: a wait from when less was known of what servers hold would keep a cold one empty.
+    fn shorten(&mut self, now: Time, gap: f64) {
+        if gap < self.gap {
+            let left = self.known.next_cold_send.since(now) as f64 * gap / self.gap;
+            (self.gap, self.known.next_cold_send) = (gap, now.plus(left as Micros));
+        }
     }
 
     /// Whether it has not lately refused, dropped or been slow.
@@ -943,9 +944,8 @@
         free.filter(|free| *free > 0.0 && *free >= slots.min(ceiling / 2.0)).unwrap_or(0.0)
     }
 
-    /// Danger: cuts drive a ceiling under what the server turns out to carry well. Each time that trouble
-    /// has stayed away for a while, it gets a slot back. Loads grow, too, and the first of a group takes
-    /// several slots: a ceiling left under what has long been held without trouble would never rise again.
+    /// Danger: cuts drive a ceiling under what the server turns out to carry well. When trouble has stayed
+    /// away for a while it gets a slot back, and when for long, it rises to what is held: loads grow, too.
     fn give_back(&mut self, now: Time, lately: Micros) {
         if self.opening == 0 && self.calm(now, LONG * lately) {
             self.known.ceiling = self.known.ceiling.max(self.held);
--- a/src/types.rs
+++ b/src/types.rs
@@ -280,6 +280,15 @@
     pub connections: Option<f64>,
 }
 
+impl Report {
+    /// Itself, if it makes sense; without its connections where only those make none.
+    pub(crate) fn sound(self) -> Option<Report> {
+        let sound = |figure: &f64| figure.is_finite() && *figure >= 0.0;
+        let connections = self.connections.filter(sound);
+        sound(&self.utilisation).then_some(Report { connections, ..self })
+    }
+}
+
 /// What a balancer has learned of a server, apart from what it holds there.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Learned {
