--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -1,6 +1,7 @@
 //! The watch on discovery's routing table: asked for by the reducer, renewed as long as it holds.
 
 use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,11 +19,14 @@
 
 /// A call waits so long for something new. Danger: what discovery has to tell counts as told 6 s later at the
 /// latest, and a watch that has fallen silent looks like one on which nothing happens; so it is soon over.
-const HOLD: Duration = Duration::from_secs(4);
+const HOLD: Duration = Duration::from_secs(3);
 /// Beyond that, a call that has had no answer after this long has failed, whether it was to wait or not. Danger: a
 /// call that is still in turn at a crowded discovery is the nearest to being answered, and one given up is served all
 /// the same, for nobody; where all give up a little too early nothing that discovery does reaches anyone.
-const LATE: Duration = Duration::from_millis(1500);
+const LATE: Duration = Duration::from_millis(2000);
+/// One that has had none may have fallen silent, and is made anew within so long. Danger: what it misses counts as
+/// told 6 s after it fell silent, and all of a tier may find that out in one instant.
+const ANEW: Duration = Duration::from_millis(800);
 
 /// A connection to discovery, kept from call to call: the next has to come within 200 ms.
 struct Line {
@@ -70,11 +74,19 @@
     while wanted.recv().await.is_some() {
         // Once asked for, the watch goes on until a call fails; then the reducer says when to ask again.
         while wanted.try_recv().is_ok() {}
+        let mut anew = false;
         loop {
             let call = call(&mut line, discovery, generation.map(|generation| (generation, hold)));
-            match timeout(HOLD + LATE, call).await.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
+            let answered = timeout(HOLD + LATE, call).await;
+            if answered.is_err() && !anew {
+                crate::log!(warn, "routing table: no answer in time, asked anew");
+                (line, anew) = (None, true);
+                tokio::time::sleep(ANEW.mul_f64(chance())).await;
+                continue;
+            }
+            match answered.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
                 Ok(News { generation: new, whole, hosts }) => {
-                    (generation, hold) = (Some(new), HOLD);
+                    (generation, hold, anew) = (Some(new), HOLD, false);
                     hub.feed(Input::Table { pool, whole, hosts });
                 }
                 Err(problem) => {
@@ -87,6 +99,11 @@
     }
 }
 
+/// From 0 to 1, another at each process and time.
+fn chance() -> f64 {
+    RandomState::new().hash_one(()) as f64 / u64::MAX as f64
+}
+
 async fn call(
     line: &mut Option<Line>,
     discovery: SocketAddr,
