--- a/src/routing/standing.rs
+++ b/src/routing/standing.rs
@@ -29,9 +29,9 @@
         auth.asked = None;
     }
 
-    /// Danger: issuer hosts may tell two figures by the same word, a connection's load and, every second while
-    /// it is long, the time that a message takes. The settings say which of them are told. Taken for a load, that time makes the heaviest host look
-    /// empty, and more is sent there.
+    /// Danger: issuer hosts may tell two figures by the same word, a connection's load and, every second while it
+    /// is long, the time that a message takes; the settings say which are told. Taken for a load, that time makes
+    /// the heaviest host look empty, and more is sent there.
     pub(super) fn told(&mut self, now: Time, id: AuthId, figure: f64) {
         let Some((pool_id, leg)) = self.auths.get(&id).and_then(|a| Some((a.pool, a.leg?))) else { return };
         // Danger: one senseless figure would spoil the means for good.
