Hear a client once more before its request is written, and empty queues before they close

- A client's end that came in the same wake-up as its connection's success was read after the request was written (`connection.rs`, `run`: `connected` and `flush` come before `readable`): sent on for nobody.
The client is heard up to now before the first byte goes out.
The runtime's own view of a socket is not enough: after a stop of the process (SIGCONT) its timers run before it has polled once, so this one read asks the system (`read_now`).
First seen as a flaky a_first_line_that_crosses_the_end_of_its_time.
- A client that sent on until the buffer was full was not read any more while it waited, so its end was not seen (`from_acquirer`); on IRC its request was tried again for nobody.
One that waits is always read, and its front ends it beyond 8 KiB sent ahead.
The platform's front ended such already (`ERR`).
- A first line that had arrived as its time to ask ended was cut off without a word: the timer was obeyed before the socket was read.
The socket is read first (`Effect::Hear`).
- Connections in a listener's queue were reset as a process left, or as SIGHUP moved its listener.
The queue is emptied (`Gate::empty`); at exit they are refused, and told to come again.
- `PING` had `PONG` from a balancer with no list, or one that leaves: taken in by the front, it could only refuse.
Now only one that is ready answers.

Seen failing without the mends: a_client_that_has_left_when_its_connection_comes_up_is_not_sent_on, an_irc_client_that_floods_while_it_waits_and_goes_is_given_up, a_first_line_that_crosses_the_end_of_its_ time_is_taken, a_client_in_the_queue_of_a_process_that_goes_is_refused, a_client_in_the_queue_of_a_listener_ that_is_given_up_is_answered, a_ping_is_answered_only_by_one_that_can_serve. Ruled out by tests that pass without any change: a client that leaves while its connect is out or as its attempt breaks, SIGTERM twice with a request out and a client that stands.

tests/fronts.rs takes `Step::Ping` for what it was before, the client's `PONG`: the same bytes are asked for.

--- a/src/protocol/irc.rs
+++ b/src/protocol/irc.rs
@@ -22,6 +22,8 @@
 const MOST_BYTES: usize = 64 << 10;
 /// Bytes of a host's notices before its welcome that are kept for the acquirer side.
 const MOST_NOTICES: usize = 4096;
+/// Bytes that a client may send ahead while it waits for its host.
+const MOST_AHEAD: usize = 8 << 10;
 
 /// What the front is set up with.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -281,7 +283,8 @@
 
     /// Danger: one that never completes its registration could keep the front busy for nothing.
     fn flood(&mut self, steps: &mut Vec<Step>) {
-        if self.lines > MOST_LINES || self.bytes > MOST_BYTES {
+        let ahead = self.phase == Phase::Placing && self.acquirer.len() > MOST_AHEAD;
+        if self.lines > MOST_LINES || self.bytes > MOST_BYTES || ahead {
             self.phase = Phase::Over;
             self.acquirer.take();
             steps.push(Step::ToAcquirer(self.error("Excess Flood")));
@@ -360,6 +363,10 @@
         }
         self.acquirer.push(bytes);
         self.register(steps);
+        // Danger: not read any further, its end would not be seen either, and it would be sent on for nobody.
+        if self.phase == Phase::Placing {
+            self.flood(steps);
+        }
         if self.phase == Phase::Standing {
             self.relay_lines(steps);
         }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -33,6 +33,8 @@
     ToAcquirer(Vec<u8>),
     /// For the issuer host.
     ToIssuer(Vec<u8>),
+    /// The acquirer side asks whether this balancer can serve; this is for it if so.
+    Ping(Vec<u8>),
     /// The acquirer side asks.
     Authorise(Authorisation),
     /// The issuer host accepted.
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -185,7 +185,7 @@
             match greeting(&line) {
                 Some(Greeting::Ping) if self.pings < MOST_PINGS => {
                     self.pings += 1;
-                    steps.push(Step::ToAcquirer(b"PONG\r\n".to_vec()));
+                    steps.push(Step::Ping(b"PONG\r\n".to_vec()));
                 }
                 // The acquirer side waits for its answer: what comes with its question is none of it.
                 Some(Greeting::Open { ask, before, after }) if self.acquirer.is_empty() => {
--- a/src/routing/door.rs
+++ b/src/routing/door.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Whether this process can serve.
+    pub fn serves(&self) -> bool {
+        self.readiness().is_ok()
+    }
+
     /// Whether this process can serve, or why not.
     fn readiness(&self) -> Result<(), &'static str> {
         // Danger: with discovery down nobody would ever be ready, though the list from before the start may do.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -132,6 +132,8 @@
     at: BTreeMap<(PoolId, ServerId), BTreeSet<AuthId>>,
     /// From when it may go, and when it goes at the latest, once it leaves.
     leaving: Option<(Time, Time)>,
+    /// That has come.
+    left: bool,
     effects: Vec<Effect>,
     store: Store,
     peers: Vec<SocketAddr>,
@@ -184,6 +186,7 @@
             shut: None,
             at: BTreeMap::new(),
             leaving: None,
+            left: false,
             effects: Vec::new(),
             store: map,
             gossip_at: (!store.peers.is_empty()).then_some(now),
@@ -201,7 +204,10 @@
     pub fn next_due(&self) -> Option<Time> {
         let wakes = self.pools.iter().filter_map(|pool| pool.wake);
         let timers = self.timers.first().map(|&(at, _)| at);
-        let leaving = self.leaving.map(|(from, to)| if self.auths.is_empty() { from } else { to });
+        let leaving = self
+            .leaving
+            .filter(|_| !self.left)
+            .map(|(from, to)| if self.auths.is_empty() { from } else { to });
         let shared = self.shared.values().copied();
         let rebalancing = self.pools.iter().filter_map(|pool| pool.rebalance.due());
         wakes
@@ -224,6 +230,11 @@
             Input::Met { auth, pool } => self.met(now, auth, pool),
             Input::Authorise { auth, ask } => self.authorise(now, auth, ask),
             Input::Left { auth } => self.left(now, auth),
+            Input::Unasked { auth } => {
+                if self.auths.get(&auth).is_some_and(|auth| auth.phase == Phase::Greeting) {
+                    self.answer(now, auth, Answer::Late);
+                }
+            }
             Input::Closed { auth } => {
                 self.waiting.remove(&auth);
                 self.make_room(now);
@@ -283,13 +294,18 @@
             Input::Leave => self.leave(now),
             Input::Tick => self.tick(now),
         }
-        if self.leaving.is_some_and(|(from, to)| now >= to || now >= from && self.auths.is_empty()) {
-            self.leaving = None;
+        let over = self.leaving.is_some_and(|(from, to)| now >= to || now >= from && self.auths.is_empty());
+        if over && !self.left {
+            // Danger: who comes in until the process is gone is refused like those before.
+            self.left = true;
             // Whoever is still here is owed a word.
             for id in self.auths.keys().copied().collect::<Vec<_>>() {
                 let answer = match self.auths.get(&id).map(|auth| auth.phase) {
                     Some(Phase::Standing) => Answer::Moved,
-                    Some(Phase::Greeting) => Answer::Late,
+                    Some(Phase::Greeting) => {
+                        self.effects.push(Effect::Hear { auth: id });
+                        continue;
+                    }
                     _ => Answer::Failed,
                 };
                 self.give(now, id, answer);
@@ -306,9 +322,7 @@
             self.set_due(id, None);
             let Some(auth) = self.auths.get(&id) else { continue };
             match (auth.phase, auth.leg) {
-                (Phase::Greeting, _) => {
-                    self.answer(now, id, Answer::Late);
-                }
+                (Phase::Greeting, _) => self.effects.push(Effect::Hear { auth: id }),
                 (Phase::Placing, leg) => {
                     let written = leg.is_some_and(|leg| leg.written);
                     let over = leg.and_then(|leg| leg.write_by).is_some_and(|by| by <= now);
--- a/src/routing/words.rs
+++ b/src/routing/words.rs
@@ -169,6 +169,8 @@
     Met { auth: AuthId, pool: PoolId },
     /// It asks.
     Authorise { auth: AuthId, ask: Authorisation },
+    /// It has not asked, and was heard up to now.
+    Unasked { auth: AuthId },
     /// It left.
     Left { auth: AuthId },
     /// All of its sockets are closed.
@@ -237,6 +239,8 @@
     CloseLeg { auth: AuthId },
     /// Give this answer, then end both sides.
     Answer { auth: AuthId, answer: Answer },
+    /// Hear the acquirer side once more: its time to ask is over. [`Input::Unasked`] if it still has not.
+    Hear { auth: AuthId },
     /// Close all sockets of an authorisation at once.
     Drop { auth: AuthId },
     /// The fronts may accept connections, or have to leave them waiting.
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -1,7 +1,7 @@
 //! One connection of the acquirer side, with the leg that is out for it.
 
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -77,6 +77,16 @@
         }
     }
 
+    /// The same, past what the runtime has heard of the socket. Danger: it hears only between two tasks, and after a
+    /// stop of the whole process its timers run before it has heard anything.
+    fn read_now(&self, piece: &mut [u8]) -> io::Result<Option<usize>> {
+        match (&*socket2::SockRef::from(&self.stream)).read(piece) {
+            Ok(n) => Ok(Some(n)),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
     /// Breaks the connection off, as the other side's was.
     fn reset(&self) {
         let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
@@ -251,7 +261,9 @@
                 return;
             }
             let leg_held = self.leg.as_ref().map_or(0, |leg| leg.out.len()) + self.front.waiting();
-            let from_acquirer = leg_held < self.buffer && self.passed_over < PASSED_OVER;
+            // One that waits is heard whatever it sends: its front ends it when that is too much.
+            let room = leg_held < self.buffer || !self.standing;
+            let from_acquirer = room && self.passed_over < PASSED_OVER;
             let from_leg = self.acquirer.out.len() < self.buffer;
             tokio::select! {
                 biased;
@@ -265,7 +277,7 @@
                 () = writable(Some(&self.acquirer)) => {}
                 () = writable(self.leg.as_ref()) => {}
                 () = readable(self.leg.as_ref()), if from_leg => self.read_leg(),
-                () = readable(Some(&self.acquirer)), if from_acquirer => self.read_acquirer(),
+                () = readable(Some(&self.acquirer)), if from_acquirer => drop(self.read_acquirer(End::read)),
                 () = until(end) => {}
             }
         }
@@ -292,6 +304,10 @@
                 self.connecting = Some((Box::pin(connect), request));
             }
             Order::CloseLeg => self.close_leg(),
+            Order::Hear => {
+                self.hear_acquirer();
+                self.hub.feed(Input::Unasked { auth: self.auth });
+            }
             Order::Answer(answer) => {
                 let words = self.front.answer(answer);
                 self.acquirer.out.extend_from_slice(&words);
@@ -339,8 +355,17 @@
         }
     }
 
+    /// Takes in all that the acquirer side has sent by now, while it is still owed an answer.
+    fn hear_acquirer(&mut self) {
+        while self.over.is_none() && !self.standing && self.read_acquirer(End::read_now) {}
+    }
+
     /// Writes what can be written.
     fn flush(&mut self) {
+        if self.leg.is_some() && !self.written {
+            // Danger: the end of its client may have come with the connection; then it is for nobody.
+            self.hear_acquirer();
+        }
         if let Some(leg) = &mut self.leg {
             let result = leg.flush();
             if result.is_err() {
@@ -364,10 +389,11 @@
         }
     }
 
-    fn read_acquirer(&mut self) {
+    /// Whether there was anything.
+    fn read_acquirer(&mut self, read: fn(&End, &mut [u8]) -> io::Result<Option<usize>>) -> bool {
         let mut piece = [0; PIECE];
-        match self.acquirer.read(&mut piece) {
-            Ok(None) => {}
+        match read(&self.acquirer, &mut piece) {
+            Ok(None) => return false,
             Ok(Some(0)) => self.acquirer_ended(),
             Ok(Some(n)) if self.over.is_some() => {
                 self.quiet = Instant::now();
@@ -381,6 +407,7 @@
             }
             Err(_) => self.acquirer_broke(),
         }
+        true
     }
 
     /// The acquirer side sends nothing more: it has left, and the issuer host is ended in the same way.
@@ -487,6 +514,12 @@
                     }
                 }
                 _ if self.over.is_some() => {}
+                Step::Ping(pong) if self.hub.serves() => self.acquirer.out.extend_from_slice(&pong),
+                // Taken in by whoever asks, it could only refuse.
+                Step::Ping(_) => {
+                    self.finish();
+                    self.hub.feed(Input::Left { auth });
+                }
                 Step::Authorise(ask) => self.hub.feed(Input::Authorise { auth, ask }),
                 Step::Up => {
                     self.standing = true;
--- a/src/transport/hub.rs
+++ b/src/transport/hub.rs
@@ -157,6 +157,7 @@
                 }
                 Effect::CloseLeg { auth } => self.order(auth, Order::CloseLeg),
                 Effect::Drop { auth } => self.order(auth, Order::Drop),
+                Effect::Hear { auth } => self.order(auth, Order::Hear),
                 Effect::Doors { open } => drop(self.doors.send_replace(open)),
                 Effect::Answer { auth, answer } => self.order(auth, Order::Answer(answer)),
                 Effect::TellPeers(word) => {
@@ -334,6 +335,16 @@
         self.state.borrow().budget().buffer
     }
 
+    /// Whether this process can serve.
+    pub fn serves(&self) -> bool {
+        self.state.borrow().serves()
+    }
+
+    /// Whether the fronts may accept now.
+    pub fn doors_open(&self) -> bool {
+        *self.doors.borrow()
+    }
+
     /// Waits until the fronts may accept, or must not any more.
     pub async fn wait_for_doors(&self, wanted: bool) {
         // It fails only when the sender is gone, which is this hub's own.
@@ -406,9 +417,10 @@
         }
     }
 
-    /// Waits a little for answers that are still being written.
-    pub async fn settle(&self) {
+    /// Waits a little for answers that are still being written, and for those who still come in by `enter`.
+    pub async fn settle(&self, enter: impl Fn()) {
         for _ in 0..20 {
+            enter();
             if self.connections.borrow().is_empty() {
                 return;
             }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -119,6 +119,8 @@
     wanted: SocketAddr,
     listener: Rc<TcpListener>,
     accepting: JoinHandle<()>,
+    /// What a front makes of its connections, and for which pool.
+    front: Option<(usize, Makes)>,
 }
 
 impl Gate {
@@ -131,15 +133,16 @@
         makes: Makes,
     ) -> Gate {
         hub.set_front(name, FrontAt { pool, makes: makes.clone(), listener: listener.clone() });
+        let front = Some((pool, makes.clone()));
         let accepting = tokio::task::spawn_local(accept(hub.clone(), listener.clone(), pool, makes));
-        Gate { wanted, listener, accepting }
+        Gate { wanted, listener, accepting, front }
     }
 
     /// The operators' door.
     fn door(hub: &Rc<Hub>, wanted: SocketAddr, listener: Rc<TcpListener>) -> Gate {
         crate::log!(info, "operators are heard on {}", bound(&listener, wanted));
         let accepting = tokio::task::spawn_local(door::accept(hub.clone(), listener.clone()));
-        Gate { wanted, listener, accepting }
+        Gate { wanted, listener, accepting, front: None }
     }
 
     /// A listener at this address: that of an old gate where it is the same.
@@ -151,9 +154,26 @@
     }
 
     /// Takes the place of an old gate, which accepts nothing more.
-    fn replace(self, old: &mut Option<Gate>) {
+    fn replace(self, hub: &Rc<Hub>, old: &mut Option<Gate>) {
+        let listener = self.listener.clone();
         if let Some(old) = old.replace(self) {
             old.accepting.abort();
+            if !Rc::ptr_eq(&old.listener, &listener) {
+                old.empty(hub);
+            }
+        }
+    }
+
+    /// Takes in what waits in the queue. Danger: closed with its listener, it would be reset without a word. But where
+    /// another process listens on the same socket, it is for that one.
+    fn empty(&self, hub: &Rc<Hub>) {
+        let Some((pool, makes)) = self.front.as_ref().filter(|_| hub.doors_open()) else { return };
+        // Danger: the runtime may not have heard of them yet, so the system itself is asked.
+        while let Ok((socket, _)) = socket2::SockRef::from(&*self.listener).accept() {
+            let stream = socket.set_nonblocking(true).map(|()| std::net::TcpStream::from(socket));
+            if let Ok(stream) = stream.and_then(tokio::net::TcpStream::from_std) {
+                connection::start(hub, *pool, stream, makes());
+            }
         }
     }
 }
@@ -196,7 +216,9 @@
         match door {
             // Callers that are there are not cut off.
             Some((wanted, _)) if self.mgmt.as_ref().is_some_and(|old| old.wanted == wanted) => {}
-            Some((wanted, listener)) => Gate::door(&self.hub, wanted, listener).replace(&mut self.mgmt),
+            Some((wanted, listener)) => {
+                Gate::door(&self.hub, wanted, listener).replace(&self.hub, &mut self.mgmt)
+            }
             None => self.mgmt.take().map(|old| old.accepting.abort()).unwrap_or_default(),
         }
         let mut pool = 0;
@@ -204,7 +226,7 @@
             let at = bound(&listener, platform.listen);
             crate::log!(info, "{} listens on {at}, as configured anew", platform.name);
             Gate::open(&self.hub, "platform", platform.listen, listener, pool, platform_makes())
-                .replace(&mut self.platform);
+                .replace(&self.hub, &mut self.platform);
             pool += 1;
         }
         if let Some((mut irc, listener)) = irc {
@@ -213,7 +235,7 @@
             crate::log!(info, "{} listens on {at} for IRC, as configured anew", irc.setup.name);
             self.hub.feed(Input::Table { pool, whole: true, hosts: irc.hosts });
             Gate::open(&self.hub, "irc", irc.listen, listener, pool, irc_makes(irc.setup))
-                .replace(&mut self.irc);
+                .replace(&self.hub, &mut self.irc);
         }
         Ok(())
     }
@@ -320,7 +342,8 @@
             _ = exit.recv() => break,
         }
     }
-    hub.settle().await;
+    let gates = [&daemon.platform, &daemon.irc];
+    hub.settle(|| gates.into_iter().flatten().for_each(|gate| gate.empty(&hub))).await;
     crate::log!(info, "left");
     Ok(())
 }
--- a/src/transport/orders.rs
+++ b/src/transport/orders.rs
@@ -19,6 +19,8 @@
     CloseLeg,
     /// Give the answer and end.
     Answer(Answer),
+    /// Say whether the acquirer side has asked by now.
+    Hear,
     /// End at once, whatever is left to write.
     Drop,
     /// Leave it to another process, if it is between two lines.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -82,6 +82,109 @@
 
 // ---- The client ----
 
+/// Danger: in the wake-up in which its connection comes up the client's end is there as well.
+#[test]
+fn a_client_that_has_left_when_its_connection_comes_up_is_not_sent_on() {
+    for breaks in [false, true] {
+        let mut host = Held::full();
+        let (daemon, _discovery) = Terms::default().start(&[&host]);
+        let client = open(&daemon);
+        daemon.hold();
+        match breaks {
+            true => reset(client.into_stream()),
+            false => drop(client),
+        }
+        host.admit();
+        let mut leg = host.accept();
+        daemon.go_on();
+        assert_eq!(leg.rest(), "", "sent on for nobody (broken off: {breaks})");
+        nothing_is_held(&daemon);
+        assert_eq!(daemon.figure("forwards"), 0);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_connect_is_out_has_that_given_up() {
+    let mut host = Held::full();
+    let (daemon, _discovery) = Terms::default().start(&[&host]);
+    drop(open(&daemon));
+    nothing_is_held(&daemon);
+    host.admit();
+    // The next connection is another client's, and its line the first.
+    let mut next = open(&daemon);
+    let mut leg = host.accept();
+    assert!(leg.line().starts_with("OPEN "));
+    leg.say("UP 2");
+    assert_eq!(next.line(), "UP 2");
+    assert_eq!(daemon.figure("forwards"), 1);
+}
+
+#[test]
+fn a_client_that_leaves_as_its_attempt_breaks_is_not_sent_on_to_another_host() {
+    let hosts = [Held::start(), Held::start()];
+    let (daemon, _discovery) = Terms::default().start(&[&hosts[0], &hosts[1]]);
+    let client = open(&daemon);
+    let mut leg = None;
+    until("an attempt is out", || {
+        leg = hosts.iter().find_map(Held::accepted);
+        leg.is_some()
+    });
+    let mut leg = leg.expect("one");
+    assert!(leg.line().starts_with("OPEN "));
+    daemon.hold();
+    drop(client);
+    reset(leg.into_stream());
+    daemon.go_on();
+    nothing_is_held(&daemon);
+    assert_eq!(daemon.figure("forwards"), 1);
+    for mut second in hosts.iter().filter_map(Held::accepted) {
+        assert_eq!(second.rest(), "");
+    }
+}
+
+/// Danger: what it has sent ahead fills the buffer, behind which its end is not seen.
+#[test]
+fn an_irc_client_that_floods_while_it_waits_and_goes_is_given_up() {
+    let hosts = [Held::start(), Held::start()];
+    let host = |n: usize| format!(r#"{{"name": "irc-{n}", "address": "{}"}}"#, hosts[n].address);
+    let more = format!(r#", "hosts": [{}, {}], "class": {{"give_up_ms": 100000}}"#, host(0), host(1));
+    let daemon = Daemon::start(&irc_config(&[], "").replace(r#", "hosts": []"#, &more), None);
+    let mut client = Client::register(&daemon.irc, "ann");
+    let mut leg = None;
+    until("it is sent on", || {
+        leg = hosts.iter().find_map(Held::accepted);
+        leg.is_some()
+    });
+    let mut leg = leg.expect("one");
+    leg.expect("USER");
+    let lines = "PRIVMSG #a :b\r\n".repeat(6000);
+    // It may be ended before it has said all.
+    let _ = client.stream.write_all(lines.as_bytes());
+    drop(client);
+    nothing_is_held(&daemon);
+    leg.rest();
+    assert!(hosts.iter().all(|host| host.accepted().is_none()), "sent on again for nobody");
+}
+
+/// Whichever comes first, it is placed, and never cut off without a word.
+#[test]
+fn a_first_line_that_crosses_the_end_of_its_time_is_taken() {
+    let host = Held::start();
+    let (daemon, _discovery) = Terms::default().start(&[&host]);
+    let mut client = Client::connect(&daemon.platform);
+    client.say("PING");
+    assert_eq!(client.line(), "PONG");
+    daemon.hold();
+    client.say("OPEN late 7f3a c=chat,d=9000");
+    // Its time to ask, 1.5 s from the platform's page, passes meanwhile.
+    std::thread::sleep(Duration::from_millis(1700));
+    daemon.go_on();
+    let mut leg = host.accept();
+    assert!(leg.line().starts_with("OPEN late "));
+    leg.say("UP 1");
+    assert_eq!(client.line(), "UP 1");
+}
+
 // ---- The attempt ----
 
 /// Danger: within the window when the connection is begun, and beyond it when that comes up.
@@ -232,8 +335,82 @@
 
 // ---- Shutdown ----
 
+/// Danger: what still waits in the listener's queue as the process goes is cut off without a word.
+#[test]
+fn a_client_in_the_queue_of_a_process_that_goes_is_refused() {
+    let host = Held::start();
+    let (mut daemon, _discovery) = Terms::default().start(&[&host]);
+    daemon.signal("-TERM");
+    daemon.log_line("leaving");
+    daemon.hold();
+    let mut client = open_for(&daemon, 9000);
+    // The stay of a process that holds nothing is over meanwhile.
+    std::thread::sleep(Duration::from_millis(1200));
+    daemon.go_on();
+    assert!(client.rest().starts_with("BUSY "), "cut off without an answer");
+    assert!(daemon.exited());
+    assert!(host.accepted().is_none(), "placed by a process that goes");
+}
+
+/// A request out, a client that stands and reads nothing, one that never closes, and a second SIGTERM.
+#[test]
+fn at_sigterm_each_has_its_word_and_the_exit_is_in_time() {
+    let host = Held::start();
+    let (mut daemon, _discovery) = Terms::default().start(&[&host]);
+    let (mut standing, _leg) = stand(&daemon, &host);
+    let mut waiting = open(&daemon);
+    let mut leg = host.accept();
+    assert!(leg.line().starts_with("OPEN "));
+    let since = Instant::now();
+    daemon.hold();
+    leg.say("UP 2");
+    daemon.signal("-TERM");
+    daemon.signal("-TERM");
+    daemon.go_on();
+    assert_eq!(standing.rest(), "MOVE\r\n");
+    assert_eq!(waiting.rest(), "UP 2\r\nMOVE\r\n");
+    assert!(daemon.exited());
+    // The longest wait counts as 3 s, and SIGKILL comes 0.7 s after it; the rest is for a busy machine.
+    assert!(since.elapsed() < Duration::from_secs(8), "late by {:?}", since.elapsed());
+}
+
+#[test]
+fn a_client_in_the_queue_of_a_listener_that_is_given_up_is_answered() {
+    let host = Held::start();
+    let (daemon, discovery) = Terms::default().start(&[&host]);
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    daemon.hold();
+    let mut client = open_for(&daemon, 9000);
+    let config = Terms::default().config(&taken.to_string(), discovery.address, &ready(1, &[&host]));
+    daemon.reload("config.json", &config);
+    daemon.go_on();
+    let mut leg = host.accept();
+    assert!(leg.line().starts_with("OPEN "));
+    leg.say("UP 1");
+    assert_eq!(client.line(), "UP 1");
+}
+
 // ---- Start and list ----
 
+/// Danger: taken in before it has a list, it can only refuse.
+#[test]
+fn a_ping_is_answered_only_by_one_that_can_serve() {
+    let host = Held::start();
+    let (daemon, discovery) = Terms::default().start(&[]);
+    let ping = || {
+        let mut client = Client::connect(&daemon.platform);
+        client.say("PING");
+        client.line()
+    };
+    assert_eq!(ping(), "");
+    answer(&discovery.call().1, &ready(2, &[&host]));
+    let _watch = discovery.call();
+    assert_eq!(ping(), "PONG");
+    daemon.signal("-TERM");
+    daemon.log_line("leaving");
+    assert_eq!(ping(), "");
+}
+
 /// The old discovery's answer and SIGHUP to another come in one wake-up.
 #[test]
 fn the_old_discoverys_words_are_not_used_after_the_new_ones() {
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -19,7 +19,8 @@
     fn add(&mut self, steps: Vec<Step>) {
         for step in steps {
             match step {
-                Step::ToAcquirer(bytes) => self.to_acquirer.extend(bytes),
+                // One that can serve.
+                Step::ToAcquirer(bytes) | Step::Ping(bytes) => self.to_acquirer.extend(bytes),
                 Step::ToIssuer(bytes) => self.to_issuer.extend(bytes),
                 other => self.said.push(other),
             }
