Deliver a broken host's last lines, pace calls of discovery, and check settings' ranges

- A write that failed ended the relay at once (`connection.rs`, `flush`), though lines of the host were there to be read: with full buffers a host's last two lines were lost.
Its writing is given up, and what it said is read to the end: what_a_host_said_before_it_broke_is_delivered_though_nothing_reaches_it_any_more.
- A client that floods was closed 100 ms after the bytes that are taken for nobody (128 KiB), over more of its bytes: a reset, behind an answer that it may not have read.
Now it has the 700 ms that all have (a_client_that_floods_is_not_cut_off_over_its_answer: 102 ms before).
- An answer of 503 on a kept connection was taken for a connection that had been closed, and asked for again 0.2 ms later (`watch.rs`, `call`): twice the load just when discovery has too much.
- Discovery that answers at once with nothing new was called without end: six calls in 0.4 ms.
So it was with a body that is no list (`{}` passed for an empty one), or with changes where the whole list was asked for.
- At the end of its time a process that leaves answered requests that wait longer than it lives with `ERR` (`routing/mod.rs`): a failure, where rule 2 mostly allows a refusal, and another balancer can serve them.
Refusals at leaving and at the limits said when to come again also where `limits.retry-after` is false.
- Settings of 0, beyond a share, of another type, doubled names, an unknown zone, by_key without a window were taken for something else or for the first zone.
They are told by their key, at check, serve and SIGHUP alike; a number may no longer be written as true or false.

Ruled out, by tests that pass without a change: a connection that comes up as its time ends, or with the word that its host drains; a host's last word crossed by a reset (its client sees an orderly end: the shutdown goes out before the reset); SIGTERM before the first list, with and without SIGHUP in the same wake-up.

The spoilt answers' test waits 0.9 s in place of 9 s where it waits for the end of a request's time.

--- a/src/program/config.rs
+++ b/src/program/config.rs
@@ -302,14 +302,12 @@
     limits.only(&[&known[..], &["sockets", "memory_mb"]].concat())?;
     let name = class.at("name").text()?.unwrap_or_else(|| "irc".to_owned());
     let tenant = root.at("tenant").text()?;
-    let give_up = class.at("give_up_ms").millis(10_000_000)?;
+    let give_up = class.at("give_up_ms").some_millis(10_000_000)?;
     let default = Settings::default();
     let zones = root.at("zones").texts()?;
-    let zone = root.at("zone").text()?;
-    let zone = zones.iter().position(|z| Some(z) == zone.as_ref()).unwrap_or(0);
     let settings = Settings {
-        balancers: root.at("balancers").number(1.0)?.max(1.0) as u32,
-        zone: ZoneId(zone as u16),
+        balancers: root.at("balancers").count(1)?,
+        zone: zone(&root.at("zone"), &zones)?,
         classes: vec![Class {
             worth: class.at("worth").number(1.0)?,
             setup_aim: class.at("setup_aim_ms").millis(give_up / 4)?,
@@ -317,12 +315,12 @@
             repeat: Repeat::Safe,
         }],
         tenants: tenant.iter().map(|_| Tenant::default()).collect(),
-        max_attempts: limits.at("legs").number(6.0)?.clamp(1.0, 6.0) as u32,
+        max_attempts: limits.at("legs").count(6)?.min(6),
         cancel: true,
         retry_after: true,
         max_retry_after: limits.at("retry_after_ms").millis(10_000_000)?,
-        connect_timeout: limits.at("connect_ms").millis(1_000_000)?,
-        cold_share: limits.at("cold_share").number(default.cold_share)?,
+        connect_timeout: limits.at("connect_ms").some_millis(1_000_000)?,
+        cold_share: limits.at("cold_share").within(LEAST_SHARE..=1.0, default.cold_share)?,
         warm_up: limits.at("warm_up_ms").millis(default.warm_up)?,
         ..default
     };
@@ -504,8 +502,8 @@
     let mut classes = Vec::new();
     let aims = info.at("message-aim").items()?;
     for (n, class) in settings.at("classes").items()?.iter().enumerate() {
-        setup.classes.push(class.at("name").must_text()?);
-        setup.longest_wait = setup.longest_wait.max(class.at("deadline").millis(0)?);
+        new_name(&mut setup.classes, &class.at("name"))?;
+        setup.longest_wait = setup.longest_wait.max(class.at("deadline").some_millis(0)?);
         classes.push(Class {
             worth: class.at("gain").number(1.0)?,
             setup_aim: class.at("objective").millis(0)?,
@@ -516,43 +514,71 @@
     let mut tenants = Vec::new();
     let quotas = info.at("tenant-quota-connections").items()?;
     for (n, tenant) in settings.at("accounts").items()?.iter().enumerate() {
-        setup.tenants.push(tenant.at("name").must_text()?);
+        new_name(&mut setup.tenants, &tenant.at("name"))?;
         tenants.push(Tenant {
             quota_per_s: tenant.at("quota-per-s").number(0.0)?,
             quota_connections: quotas.get(n).map_or(Ok(0.0), |quota| quota.number(0.0))?,
         });
     }
-    let zone = settings.at("zone").text()?;
-    let zone = setup.zones.iter().position(|z| Some(z) == zone.as_ref()).unwrap_or(0);
     setup.settings = Settings {
-        balancers: settings.at("balancers").number(1.0)?.max(1.0) as u32,
-        zone: ZoneId(zone as u16),
+        balancers: settings.at("balancers").count(1)?,
+        zone: zone(&settings.at("zone"), &setup.zones)?,
         classes,
         tenants,
-        over_share_worth: settings.at("over-share-worth").number(default.over_share_worth)?,
-        max_attempts: limits.at("try-limit").number(default.max_attempts.into())? as u32,
+        over_share_worth: settings.at("over-share-worth").within(0.0..=1.0, default.over_share_worth)?,
+        max_attempts: limits.at("try-limit").count(default.max_attempts)?,
         cancel: limits.at("cancel").flag(false)?,
         retry_after: limits.at("retry-after").flag(false)?,
         max_retry_after: limits.at("max-retry-after").millis(default.max_retry_after)?,
-        connect_timeout: limits.at("connect-timeout").millis(default.connect_timeout)?,
+        connect_timeout: limits.at("connect-timeout").some_millis(default.connect_timeout)?,
         // On sockets a list comes only when it is asked for, whatever the simulator does.
         must_ask: true,
-        must_ask_in: rules.at("must-ask-in").millis(default.must_ask_in)?,
+        must_ask_in: rules.at("must-ask-in").some_millis(default.must_ask_in)?,
         pushed: pushed(&settings.at("discovery"))?,
-        drain_grace: rules.at("drain-grace").millis(default.drain_grace)?,
+        drain_grace: rules.at("drain-grace").some_millis(default.drain_grace)?,
         probes: limits.at("probing").flag(false)?,
         probe_reports: !setup.reports.is_empty(),
         probe_price: charges.at("probe").number(0.0)?,
         cross_zone_price: charges.at("cross-zone").number(0.0)?,
         move_price: charges.at("moves").number(0.0)?,
-        cold_share: rules.at("cold-share").number(default.cold_share)?,
+        cold_share: rules.at("cold-share").within(LEAST_SHARE..=1.0, default.cold_share)?,
         warm_up: rules.at("warm-up").millis(default.warm_up)?,
-        fall_multiple: rules.at("tip-multiple").number(default.fall_multiple)?,
-        fall_window: rules.at("overload-for").millis(default.fall_window)?,
+        fall_multiple: rules.at("tip-multiple").within(1.0..=1e6, default.fall_multiple)?,
+        fall_window: rules.at("overload-for").some_millis(default.fall_window)?,
     };
     Ok(setup)
 }
 
+/// A server that starts with less than this share of what it can do could be sent nothing at all.
+const LEAST_SHARE: f64 = 1e-6;
+
+/// A name that none before has. Danger: of two alike one would be served by the other's terms.
+fn new_name(names: &mut Vec<String>, place: &Place<'_>) -> Result<(), Fault> {
+    let name = place.must_text()?;
+    if names.contains(&name) {
+        return Err(place.fault("another has this name"));
+    }
+    names.push(name);
+    Ok(())
+}
+
+/// The zone that this balancer is in, by its place among all.
+fn zone(place: &Place<'_>, zones: &[String]) -> Result<ZoneId, Fault> {
+    let name = place.text()?.filter(|name| !name.is_empty() && !zones.is_empty());
+    let Some(name) = name else { return Ok(ZoneId(0)) };
+    let at = zones.iter().position(|zone| *zone == name);
+    at.map(|at| ZoneId(at as u16)).ok_or_else(|| place.fault("one of the zones is wanted"))
+}
+
+/// How long repeats of a request are dropped by its key.
+fn known_for(class: &Place<'_>) -> Result<Micros, Fault> {
+    let window = class.at("window");
+    if !window.exists() {
+        return Err(window.fault("is missing"));
+    }
+    window.some_millis(0)
+}
+
 /// Whether lists are pushed, or have to be asked for.
 fn pushed(place: &Place<'_>) -> Result<bool, Fault> {
     match place.text()?.as_deref() {
@@ -584,7 +610,7 @@
     };
     match place.text()?.as_deref() {
         Some("repeatable") => Ok(Repeat::Safe),
-        Some("by_key") => Ok(Repeat::Keyed { scope, window: class.at("window").millis(0)? }),
+        Some("by_key") => Ok(Repeat::Keyed { scope, window: known_for(class)? }),
         Some("once") | None => Ok(Repeat::Unsafe),
         Some(_) => Err(place.fault("repeatable, by_key or once is wanted")),
     }
--- a/src/protocol/http.rs
+++ b/src/protocol/http.rs
@@ -161,5 +161,12 @@
 /// Reads the body of an answer.
 pub fn news_text(body: &[u8]) -> Result<News, Fault> {
     let document = json::document(body)?;
-    news(&Place::root(&document))
+    let root = Place::root(&document);
+    // Danger: taken for a list, an answer of something else would be an empty one.
+    for key in ["generation", "instances"] {
+        if !root.at(key).exists() {
+            return Err(root.at(key).fault("is missing"));
+        }
+    }
+    news(&root)
 }
--- a/src/protocol/json.rs
+++ b/src/protocol/json.rs
@@ -95,10 +95,7 @@
 
     /// A number of at least 0, or the default.
     pub fn number(&self, default: f64) -> Result<f64, Fault> {
-        let read = |v: &OwnedValue| {
-            let number = v.cast_f64().or_else(|| v.as_bool().map(|b| f64::from(u8::from(b))));
-            number.filter(|n| n.is_finite() && *n >= 0.0)
-        };
+        let read = |v: &OwnedValue| v.cast_f64().filter(|n| n.is_finite() && *n >= 0.0);
         Ok(self.get("a number of 0 or more is wanted", read)?.unwrap_or(default))
     }
 
@@ -111,6 +108,32 @@
         Ok((ms * 1000.0).round() as Micros)
     }
 
+    /// Milliseconds of which there have to be some, or the default.
+    pub fn some_millis(&self, default: Micros) -> Result<Micros, Fault> {
+        match self.millis(default)? {
+            0 if self.exists() => Err(self.fault("more than 0 milliseconds are wanted")),
+            time => Ok(time),
+        }
+    }
+
+    /// A number in this range, or the default.
+    pub fn within(&self, range: std::ops::RangeInclusive<f64>, default: f64) -> Result<f64, Fault> {
+        let number = self.number(default)?;
+        if self.exists() && !range.contains(&number) {
+            return Err(self.fault(&format!("a number from {} to {} is wanted", range.start(), range.end())));
+        }
+        Ok(number)
+    }
+
+    /// A count of at least one, or the default.
+    pub fn count(&self, default: u32) -> Result<u32, Fault> {
+        let count = self.within(1.0..=1e6, default.into())?;
+        if count.fract() != 0.0 {
+            return Err(self.fault("a whole number is wanted"));
+        }
+        Ok(count as u32)
+    }
+
     /// A flag, or the default.
     pub fn flag(&self, default: bool) -> Result<bool, Fault> {
         let read = |v: &OwnedValue| v.as_bool().or_else(|| v.cast_f64().map(|n| n != 0.0));
--- a/src/routing/acquirer.rs
+++ b/src/routing/acquirer.rs
@@ -5,7 +5,7 @@
 use crate::{ClassId, Event, GroupId, Micros, Outcome, RequestId, TenantId, Time};
 
 /// How long a balancer that leaves asks refused clients to stay away: the front needs that to notice.
-const LEAVING_WAIT: Micros = 400_000;
+pub(super) const LEAVING_WAIT: Micros = 400_000;
 /// A connection that stood before the start is tried this long.
 const ADOPT_FOR: Micros = 30_000_000;
 /// Where connections without a leg are as many as they may be, one that has been there so long makes room.
@@ -66,7 +66,7 @@
         if self.leaving.is_some() && self.partner != Some(Partner::Successor) {
             // What still arrives at a balancer that leaves is answered, and told to come again. Where another
             // process has taken its place, hosts are served by that one just the same.
-            return self.answer(now, id, Answer::Refused(LEAVING_WAIT));
+            return self.answer(now, id, self.come_again(id, LEAVING_WAIT));
         }
         let held: usize = self.pools.iter().map(|pool| pool.held).sum();
         let pool = &self.pools[pool_id];
@@ -74,7 +74,7 @@
         let limit = limit.and_then(|text| text.parse().ok()).unwrap_or(pool.setup.most_held);
         if pool.held >= limit || held >= self.budget.held {
             let wait = pool.setup.settings.max_retry_after / 2;
-            return self.answer(now, id, Answer::Refused(wait));
+            return self.answer(now, id, self.come_again(id, wait));
         }
         let tenants = &pool.setup.tenants;
         let tenant = ask.tenant.as_deref().map(|name| index(tenants, name).map(|n| TenantId(n as u16)));
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -21,6 +21,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
+use acquirer::LEAVING_WAIT;
 use handover::Partner;
 use probes::Probes;
 pub use probes::{ProbeEnd, MOST_PROBES};
@@ -30,7 +31,7 @@
 
 use crate::peers::{News, Peers, Word};
 use crate::rebalance::{self, Rebalance};
-use crate::{Action, Balancer, ClassId, Event, Outcome, ServerId, Time};
+use crate::{Action, Balancer, ClassId, Event, Micros, Outcome, RequestId, ServerId, Time};
 
 struct Pool {
     setup: PoolSetup,
@@ -306,6 +307,8 @@
                         self.effects.push(Effect::Hear { auth: id });
                         continue;
                     }
+                    // Its time may go on for longer than this process; elsewhere it can still be served.
+                    Some(Phase::Placing) if self.may_refuse(id) => self.come_again(id, LEAVING_WAIT),
                     _ => Answer::Failed,
                 };
                 self.give(now, id, answer);
@@ -315,6 +318,18 @@
         }
     }
 
+    /// Whether the client of a request may be told that to come again is harmless.
+    fn may_refuse(&self, id: AuthId) -> bool {
+        self.auths.get(&id).is_some_and(|auth| self.pools[auth.pool].balancer.may_refuse(RequestId(id.0)))
+    }
+
+    /// A refusal that says when to come again, as far as the settings allow.
+    fn come_again(&self, id: AuthId, wait: Micros) -> Answer {
+        let settings = self.auths.get(&id).map(|auth| &self.pools[auth.pool].setup.settings);
+        let most = settings.filter(|settings| settings.retry_after).map_or(0, |s| s.max_retry_after);
+        Answer::Refused(wait.min(most))
+    }
+
     // ---- Time ----
 
     fn tick(&mut self, now: Time) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -636,7 +636,8 @@
     }
 
     /// Rule 2: whether a refusal, which promises that trying again is harmless, would be true.
-    fn may_refuse(&self, request: &Request) -> bool {
+    pub fn may_refuse(&self, id: RequestId) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
         match self.repeat(request.class) {
             Repeat::Safe | Repeat::Keyed { scope: Scope::All, .. } => true,
             _ => request.may_have_run.is_none() && request.out.is_none(),
@@ -714,7 +715,7 @@
     /// The one place that answers. Rule 1: once; rule 2: refused only where trying again is harmless.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id).filter(|r| !r.answered) else { return };
-        let refuse = self.may_refuse(request);
+        let refuse = self.may_refuse(id);
         if let Some(attempt) = request.out.map(|a| a.number).filter(|_| self.settings.cancel) {
             actions.push(Action::Cancel { request: id, attempt });
         }
@@ -988,10 +989,8 @@
 
     /// How long repeats of what may have run are still dropped.
     fn window_left(&self, repeat: Repeat, now: Time) -> Option<Micros> {
-        let (Repeat::Keyed { window, .. }, Some((.., since))) = (repeat, self.may_have_run) else {
-            return None;
-        };
-        Some(window.saturating_sub(now.since(since)))
+        let Repeat::Keyed { window, .. } = repeat else { return None };
+        self.may_have_run.map(|(.., since)| window.saturating_sub(now.since(since)))
     }
 
     /// Rule 2: once an attempt may have run, another goes only where it has no second effect.
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -36,6 +36,8 @@
     sent: Option<Vec<u8>>,
     /// It sends nothing more.
     ended: bool,
+    /// Nothing can be written to it any more, but what it said before may still be there to be read.
+    broke: bool,
     /// It is to be sent nothing more once `out` is written, and whether that is done.
     finish: bool,
     finished: bool,
@@ -44,7 +46,15 @@
 impl End {
     fn new(stream: TcpStream) -> End {
         let _ = stream.set_nodelay(true);
-        End { stream, out: Vec::new(), sent: None, ended: false, finish: false, finished: false }
+        End {
+            stream,
+            out: Vec::new(),
+            sent: None,
+            ended: false,
+            broke: false,
+            finish: false,
+            finished: false,
+        }
     }
 
     /// Writes what it can at once.
@@ -250,7 +260,8 @@
             let leg_over = self.leg.as_ref().is_none_or(|leg| leg.finished);
             let closed = self.acquirer.finished && self.acquirer.ended && leg_over;
             let end = self.over.map(|over| {
-                let quiet = self.acquirer.finished && leg_over;
+                // Danger: one that floods has more there, and closed over that it might not see its answer.
+                let quiet = self.acquirer.finished && leg_over && self.passed_over < PASSED_OVER;
                 if quiet {
                     over.min(self.quiet + QUIET)
                 } else {
@@ -367,9 +378,13 @@
             self.hear_acquirer();
         }
         if let Some(leg) = &mut self.leg {
-            let result = leg.flush();
-            if result.is_err() {
-                return self.leg_broke(true);
+            if leg.flush().is_err() {
+                if !self.written {
+                    return self.leg_broke(true);
+                }
+                // Danger: its last lines may be there to be read; they are delivered, and then it is over.
+                leg.out.clear();
+                (leg.broke, leg.finished) = (true, true);
             }
             if !self.written && leg.out.is_empty() {
                 self.written = true;
@@ -444,7 +459,7 @@
         let Some(leg) = &self.leg else { return };
         match leg.read(&mut piece) {
             Ok(None) => {}
-            Ok(Some(0)) => self.leg_broke(false),
+            Ok(Some(0)) => self.leg_broke(leg.broke),
             Ok(Some(_)) if self.discard => {}
             Ok(Some(n)) => {
                 if self.standing && self.over.is_none() {
--- a/src/transport/watch.rs
+++ b/src/transport/watch.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use super::hub::Hub;
 use super::orders::WatchOrder;
@@ -28,6 +28,10 @@
 /// told 6 s after it fell silent, and all of a tier may find that out in one instant.
 const ANEW: Duration = Duration::from_millis(800);
 
+/// Danger: discovery that answers at once with nothing new, in place of waiting, would be called without end. The next
+/// call has to come within 200 ms, or it is no more the same watch.
+const PACE: Duration = Duration::from_millis(100);
+
 /// A connection to discovery, kept from call to call: the next has to come within 200 ms.
 struct Line {
     stream: TcpStream,
@@ -76,6 +80,7 @@
         while wanted.try_recv().is_ok() {}
         let mut anew = false;
         loop {
+            let called = Instant::now();
             let call = call(&mut line, discovery, generation.map(|generation| (generation, hold)));
             let answered = timeout(HOLD + LATE, call).await;
             if answered.is_err() && !anew {
@@ -94,8 +99,12 @@
                     (generation, hold) = (None, Duration::ZERO);
                 }
                 Ok(News { generation: new, whole, hosts }) => {
+                    let nothing = hosts.is_empty() && generation == Some(new);
                     (generation, hold, anew) = (Some(new), HOLD, false);
                     hub.feed(Input::Table { pool, whole, hosts });
+                    if nothing && called.elapsed() < PACE {
+                        tokio::time::sleep(PACE).await;
+                    }
                 }
                 Err(problem) => {
                     crate::log!(warn, "routing table: {problem}");
@@ -118,13 +127,24 @@
     from: Option<(u64, Duration)>,
 ) -> Result<News, String> {
     let fresh = line.is_none();
-    match exchange(line, discovery, from).await {
-        // Danger: a kept connection may have been closed by discovery between two calls.
+    let answer = match exchange(line, discovery, from).await {
+        // Danger: a kept connection may have been closed by discovery between two calls. But where it answered,
+        // whatever that was, to call again at once would be twice the load, just when it has too much.
         Err(_) if !fresh => {
             *line = None;
             exchange(line, discovery, from).await
         }
         result => result,
+    }?;
+    match answer.status {
+        200 => {}
+        status => return Err(format!("discovery answered {status}")),
+    }
+    match http::news_text(&answer.body) {
+        Ok(News { whole: false, .. }) if from.is_none() => {
+            Err("discovery: changes where the whole list was asked for".to_owned())
+        }
+        news => news.map_err(|fault| fault.to_string()),
     }
 }
 
@@ -132,7 +152,7 @@
     line: &mut Option<Line>,
     discovery: SocketAddr,
     from: Option<(u64, Duration)>,
-) -> Result<News, String> {
+) -> Result<http::Answer, String> {
     let broken = |e: std::io::Error| format!("discovery: {e}");
     if line.is_none() {
         let stream = TcpStream::connect(discovery).await.map_err(broken)?;
@@ -156,8 +176,5 @@
     if answer.close {
         *line = None;
     }
-    match answer.status {
-        200 => http::news_text(&answer.body).map_err(|fault| fault.to_string()),
-        status => Err(format!("discovery answered {status}")),
-    }
+    Ok(answer)
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -49,6 +49,55 @@
     );
 }
 
+/// Whatever another customer's settings hold: what cannot be meant is told, and not taken for something else.
+#[test]
+fn settings_beyond_their_range_are_told_by_their_key() {
+    let told = |settings: &str| {
+        let text =
+            format!(r#"{{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {{{settings}}}}}"#);
+        parse_platform(text.as_bytes()).map(drop).map_err(|fault| fault.to_string())
+    };
+    let class =
+        |more: &str| format!(r#""classes": [{{"name": "a", "deadline": 900}}, {{"name": "b", {more}}}]"#);
+    let of = |part: &str, key: &str, value: &str| format!(r#""{part}": {{"{key}": {value}}}"#);
+    let faulty = [
+        (class(r#""deadline": 0"#), "classes[1].deadline"),
+        (class(r#""deadline": -5"#), "classes[1].deadline"),
+        (class(r#""deadline": true"#), "classes[1].deadline"),
+        (class(r#""deadline": 1e300"#), "classes[1].deadline"),
+        (class(r#""repeat": "by_key""#), "classes[1].window"),
+        (class(r#""repeat": "by_key", "window": 0"#), "classes[1].window"),
+        (class(r#""repeat": "by_key", "window": 9, "group": "planet""#), "classes[1].group"),
+        (class(r#""gain": "much""#), "classes[1].gain"),
+        (r#""classes": [{"name": "a"}, {"name": "a"}]"#.to_owned(), "classes[1].name"),
+        (r#""accounts": [{"name": "a"}, {"name": "a"}]"#.to_owned(), "accounts[1].name"),
+        (r#""accounts": [{"fraction": 1}]"#.to_owned(), "accounts[0].name"),
+        (r#""zones": ["x", "y"], "zone": "z""#.to_owned(), "zone"),
+        (r#""discovery": "asked""#.to_owned(), "discovery"),
+        (r#""balancers": 0"#.to_owned(), "balancers"),
+        (r#""balancers": 2.5"#.to_owned(), "balancers"),
+        (r#""over-share-worth": 1.5"#.to_owned(), "over-share-worth"),
+        (of("limits", "try-limit", "0"), "limits.try-limit"),
+        (of("limits", "connect-timeout", "0"), "limits.connect-timeout"),
+        (of("limits", "max-retry-after", "-1"), "limits.max-retry-after"),
+        (of("limits", "cancel", "[]"), "limits.cancel"),
+        (of("invariants", "must-ask-in", "0"), "invariants.must-ask-in"),
+        (of("invariants", "drain-grace", "0"), "invariants.drain-grace"),
+        (of("invariants", "cold-share", "0"), "invariants.cold-share"),
+        (of("invariants", "cold-share", "34"), "invariants.cold-share"),
+        (of("invariants", "tip-multiple", "0.5"), "invariants.tip-multiple"),
+        (of("invariants", "overload-for", "0"), "invariants.overload-for"),
+        (of("invariants", "warm-up", "null-ish").replace("null-ish", r#""soon""#), "invariants.warm-up"),
+        (of("charges", "moves", "-0.1"), "charges.moves"),
+    ];
+    for (settings, key) in faulty {
+        let fault = told(&settings).expect_err(&settings);
+        assert!(fault.starts_with(&format!("settings.{key}: ")), "{settings}: {fault}");
+    }
+    assert_eq!(told(&class(r#""repeat": "by_key", "window": 9, "deadline": 1"#)), Ok(()));
+    assert_eq!(told(r#""zones": ["x", "y"], "zone": "y", "balancers": 300"#), Ok(()));
+}
+
 /// What the two deployments' settings say, as far as the program relies on it.
 #[test]
 fn both_deployments_settings_are_taken_as_they_say() {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,7 +3,7 @@
 
 mod standins;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -239,6 +239,44 @@
     assert!(host.accepted().is_none_or(|mut leg| leg.rest().is_empty()));
 }
 
+/// In the wake-up in which it comes up its time is over.
+#[test]
+fn a_connection_that_comes_up_as_its_time_ends_is_not_written_to() {
+    let mut host = Held::full();
+    let (daemon, _discovery) = Terms::default().start(&[&host]);
+    let mut client = open_for(&daemon, 900);
+    until("the request is taken", || daemon.figure("outstanding") == 1);
+    daemon.hold();
+    host.admit();
+    let mut leg = host.accept();
+    std::thread::sleep(Duration::from_millis(1000));
+    daemon.go_on();
+    assert!(client.rest().starts_with("BUSY"));
+    assert_eq!(leg.rest(), "", "written when its time was over");
+    nothing_is_held(&daemon);
+}
+
+/// Whichever is heard of first, the client is answered once, and nothing goes to the host after the word.
+#[test]
+fn a_connection_that_comes_up_with_the_word_that_its_host_drains_is_answered_once() {
+    let mut host = Held::full();
+    let (daemon, discovery) = Terms::default().start(&[&host]);
+    let mut client = open(&daemon);
+    let (_, watch) = discovery.call();
+    daemon.hold();
+    host.admit();
+    answer(&watch, &list(2, false, &[named(0, &host, "draining")]));
+    let mut leg = host.accept();
+    daemon.go_on();
+    if leg.line().starts_with("OPEN ") {
+        leg.say("BUSY");
+    }
+    let answer = client.rest();
+    assert!(answer.starts_with("BUSY") && answer.lines().count() == 1, "{answer}");
+    nothing_is_held(&daemon);
+    assert!(host.accepted().is_none(), "sent on to a host that drains");
+}
+
 // ---- The answer ----
 
 /// Whatever a host answers with, its client has one answer, whole, and in time.
@@ -258,7 +296,8 @@
     for (pieces, ends, wanted) in cases {
         let host = Held::start();
         let (daemon, _discovery) = Terms::default().start(&[&host]);
-        let mut client = open(&daemon);
+        // Where it is refused, that may be at the end of its time.
+        let mut client = open_for(&daemon, if wanted == "BUSY" { 900 } else { 9000 });
         let mut leg = host.accept();
         assert!(leg.line().starts_with("OPEN "));
         for piece in pieces {
@@ -333,6 +372,62 @@
     nothing_is_held(&daemon);
 }
 
+/// Danger: a write that fails says that the connection is gone, while the host's last lines are there to be read.
+#[test]
+fn what_a_host_said_before_it_broke_is_delivered_though_nothing_reaches_it_any_more() {
+    let host = Held::start();
+    let (daemon, _discovery) = Terms::default().start(&[&host]);
+    let (mut client, mut leg) = stand(&daemon, &host);
+    // The host reads nothing: some of this stays with the daemon.
+    client.stream.set_nonblocking(true).expect("a socket");
+    let lines = [&[b'x'; 62][..], b"\r\n"].concat().repeat(8192);
+    let mut full = 0;
+    until("all buffers are full", || {
+        full = if client.stream.write(&lines).is_ok() { 0 } else { full + 1 };
+        full > 20
+    });
+    client.stream.set_nonblocking(false).expect("a socket");
+    daemon.hold();
+    leg.stream.write_all(b"M 1\r\nM 2\r\n").expect("written");
+    reset(leg.into_stream());
+    daemon.go_on();
+    assert_eq!((client.line(), client.line()), ("M 1".into(), "M 2".into()));
+    nothing_is_held(&daemon);
+}
+
+/// The client's next line crosses the host's last word, and is answered by a reset.
+#[test]
+fn a_connection_whose_host_has_said_its_last_word_ends_in_order() {
+    for word in ["BYE", "MOVE"] {
+        let host = Held::start();
+        let (daemon, _discovery) = Terms::default().start(&[&host]);
+        let (mut client, mut leg) = stand(&daemon, &host);
+        daemon.hold();
+        client.say("M 1");
+        leg.say(word);
+        reset(leg.into_stream());
+        daemon.go_on();
+        assert_eq!(client.line(), word);
+        assert_eq!(client.stream.read(&mut [0]).expect("ended in order, not broken off"), 0);
+        nothing_is_held(&daemon);
+    }
+}
+
+/// Danger: closed at once over what it still sends, a client may not see its answer.
+#[test]
+fn a_client_that_floods_is_not_cut_off_over_its_answer() {
+    let host = Held::start();
+    let (daemon, _discovery) = Terms::default().start(&[&host]);
+    let mut client = Client::connect(&daemon.platform);
+    let since = Instant::now();
+    client.say("NONSENSE");
+    assert_eq!(client.line(), "ERR");
+    while client.stream.write_all(&[b'x'; 4096]).is_ok() {}
+    let stood = since.elapsed();
+    assert!(stood >= Duration::from_millis(600), "cut off after {stood:?}");
+    nothing_is_held(&daemon);
+}
+
 // ---- Shutdown ----
 
 /// Danger: what still waits in the listener's queue as the process goes is cut off without a word.
@@ -374,6 +469,44 @@
     assert!(since.elapsed() < Duration::from_secs(8), "late by {:?}", since.elapsed());
 }
 
+/// With no list and a discovery that says nothing, and with a new configuration in the same wake-up.
+#[test]
+fn at_sigterm_before_it_could_serve_it_refuses_and_exits() {
+    for reloaded in [false, true] {
+        let (mut daemon, discovery) = Terms::default().start(&[]);
+        let (_, _silent) = discovery.call();
+        daemon.hold();
+        let mut client = open_for(&daemon, 9000);
+        if reloaded {
+            let config = Terms::default().config("127.0.0.1:0", discovery.address, &ready(1, &[]));
+            daemon.reload("config.json", &config);
+        }
+        daemon.signal("-TERM");
+        daemon.go_on();
+        assert!(client.rest().starts_with("BUSY "));
+        assert!(daemon.exited());
+    }
+}
+
+/// Its time goes on for longer than the process: elsewhere it can be served. Where clients follow no advice none is given.
+#[test]
+fn a_request_that_outlives_the_process_is_told_to_come_again() {
+    for (allowed, wanted) in [("true", "BUSY 400\r\n"), ("false", "BUSY\r\n")] {
+        let host = Held::full();
+        let discovery = Discovery::start();
+        let config = Terms::default().config("127.0.0.1:0", discovery.address, &ready(1, &[&host]));
+        let config = config.replace(r#""retry-after": true"#, &format!(r#""retry-after": {allowed}"#));
+        let mut daemon = Daemon::start(&irc_config(&[], ""), Some(&config));
+        let mut waiting = open(&daemon);
+        daemon.signal("-TERM");
+        daemon.log_line("leaving");
+        let mut late = open_for(&daemon, 9000);
+        assert_eq!(late.rest(), wanted);
+        assert_eq!(waiting.rest(), wanted);
+        assert!(daemon.exited());
+    }
+}
+
 #[test]
 fn a_client_in_the_queue_of_a_listener_that_is_given_up_is_answered() {
     let host = Held::start();
@@ -483,3 +616,45 @@
         since = Instant::now();
     }
 }
+
+/// Danger: to call twice at once is twice the load, just when discovery has too much.
+#[test]
+fn an_answer_of_503_on_a_kept_connection_is_not_asked_for_again_at_once() {
+    let host = Held::start();
+    let (_daemon, discovery) = Terms::default().start(&[&host]);
+    let (_, call) = discovery.call();
+    answer(&call, &list(2, false, &[]));
+    for _ in 0..2 {
+        let (_, mut call) = discovery.call();
+        let since = Instant::now();
+        call.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").expect("written");
+        let (_, call) = discovery.call();
+        assert!(since.elapsed() >= Duration::from_millis(50), "asked again after {:?}", since.elapsed());
+        answer(&call, &list(2, false, &[]));
+    }
+}
+
+/// Danger: a discovery that answers without end, or with what is no list, would be called without end.
+#[test]
+fn discovery_that_answers_at_once_with_nothing_is_not_called_without_end() {
+    let host = Held::start();
+    let (daemon, discovery) = Terms::default().start(&[&host]);
+    for nonsense in [None, Some("{}"), Some(r#"{"generation": 9, "instances": []}"#), Some("[[")] {
+        // The second of these is an answer to the call for the whole list, which the first one leads to.
+        let calls: Vec<_> = (0..6)
+            .map(|_| {
+                let (asked, call) = discovery.call();
+                let whole = !asked.contains("from=");
+                answer(
+                    &call,
+                    nonsense.unwrap_or(&list(1, whole, &[named(0, &host, "ready")][..usize::from(whole)])),
+                );
+                Instant::now()
+            })
+            .collect();
+        let took = calls[5].duration_since(calls[0]);
+        assert!(took >= Duration::from_millis(250), "six calls in {took:?} for {nonsense:?}");
+    }
+    // Through all of that the list that it had stays.
+    let (_client, _leg) = stand(&daemon, &host);
+}
