--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -166,6 +166,61 @@
     assert!(hosts.iter().all(|host| host.accepted().is_none()), "sent on again for nobody");
 }
 
+/// A client of the platform waits after its first line: one that goes on is told so, and nothing goes on for it.
+#[test]
+fn a_client_that_sends_much_while_it_waits_and_goes_is_given_up() {
+    let hosts = [Held::start(), Held::start()];
+    let (daemon, _discovery) = Terms::default().start(&[&hosts[0], &hosts[1]]);
+    let mut client = open(&daemon);
+    let mut leg = None;
+    until("an attempt is out", || {
+        leg = hosts.iter().find_map(Held::accepted);
+        leg.is_some()
+    });
+    // It may be ended before it has said all.
+    let _ = client.stream.write_all(&[b'x'; 1 << 20]);
+    drop(client);
+    nothing_is_held(&daemon);
+    leg.expect("one").rest();
+    assert!(hosts.iter().all(|host| host.accepted().is_none()), "sent on again for nobody");
+}
+
+/// An IRC client says QUIT and goes while its connection is on its way.
+#[test]
+fn an_irc_client_that_quits_while_it_waits_is_not_sent_on() {
+    let mut host = Held::full();
+    let listed = format!(r#", "hosts": [{{"name": "irc-1", "address": "{}"}}]"#, host.address);
+    let more = format!(r#"{listed}, "limits": {{"connect_ms": 9000}}"#);
+    let daemon = Daemon::start(&irc_config(&[], "").replace(r#", "hosts": []"#, &more), None);
+    let mut client = Client::register(&daemon.irc, "ann");
+    until("it waits", || daemon.figure("outstanding") == 1);
+    daemon.hold();
+    client.say("QUIT :bye");
+    drop(client);
+    host.admit();
+    let mut leg = host.accept();
+    daemon.go_on();
+    assert_eq!(leg.rest(), "");
+    nothing_is_held(&daemon);
+}
+
+/// Danger: hundreds that rest with their answers, and never close, would use up the descriptors.
+#[test]
+fn clients_by_the_hundred_that_never_close_are_in_nobodys_way() {
+    let host = Held::start();
+    let (daemon, _discovery) = Terms::default().start(&[&host]);
+    // More than the 160 descriptors that the daemon may have.
+    let resting: Vec<Client> = (0..250)
+        .map(|n| {
+            let mut client = Client::connect(&daemon.platform);
+            client.say(if n % 2 == 0 { "NONSENSE" } else { "OPEN x 7f3a c=nothing,d=900" });
+            client
+        })
+        .collect();
+    let (_client, _leg) = stand(&daemon, &host);
+    drop(resting);
+}
+
 /// Whichever comes first, it is placed, and never cut off without a word.
 #[test]
 fn a_first_line_that_crosses_the_end_of_its_time_is_taken() {
@@ -523,6 +578,55 @@
     assert_eq!(client.line(), "UP 1");
 }
 
+// ---- Hand-over ----
+
+/// What comes in the wake-up in which another process asks for the connections is lost or doubled by neither.
+#[test]
+fn what_crosses_a_hand_over_arrives_once() {
+    for event in ["client's line", "host's line", "client's end", "host's reset", "SIGTERM"] {
+        let host = Held::start();
+        let (mut daemon, _discovery) = Terms::default().start(&[&host]);
+        let (client, leg) = stand(&daemon, &host);
+        let (mut client, mut leg) = (Some(client), Some(leg));
+        daemon.hold();
+        match event {
+            "client's line" => client.as_mut().expect("one").say("M 1"),
+            "host's line" => leg.as_mut().expect("one").say("M 2"),
+            "client's end" => drop(client.take()),
+            "host's reset" => reset(leg.take().expect("one").into_stream()),
+            _ => daemon.signal("-TERM"),
+        }
+        let _heir = daemon.go_on_beside_another();
+        let (mut client, mut leg) = match (client, leg) {
+            (Some(client), Some(leg)) => (client, leg),
+            // The other side is ended in the same way.
+            (client, leg) => {
+                let mut left = client.or(leg).expect("one");
+                assert_eq!(left.rest(), "", "{event}");
+                continue;
+            }
+        };
+        match event {
+            "client's line" => assert_eq!(leg.line(), "M 1"),
+            "host's line" => assert_eq!(client.line(), "M 2"),
+            // Told to go, the old process may move it, or hand it over before that.
+            _ => assert!(daemon.exited()),
+        }
+        let _ = leg.stream.write_all(b"M 4\r\n");
+        match &client.line()[..] {
+            // Whoever has it now, it goes on, and nothing came twice.
+            "M 4" => {
+                client.say("M 5");
+                assert_eq!(leg.line(), "M 5", "{event}");
+            }
+            word => {
+                assert_eq!((word, event, client.rest()), ("MOVE", "SIGTERM", String::new()));
+                assert_eq!(leg.rest(), "");
+            }
+        }
+    }
+}
+
 // ---- Start and list ----
 
 /// Danger: taken in before it has a list, it can only refuse.
@@ -658,3 +762,17 @@
     // Through all of that the list that it had stays.
     let (_client, _leg) = stand(&daemon, &host);
 }
+
+/// A body without end is given up; the list that it had stays, and discovery is asked again.
+#[test]
+fn an_answer_without_end_is_given_up() {
+    let host = Held::start();
+    let (daemon, discovery) = Terms::default().start(&[&host]);
+    let (_, mut call) = discovery.call();
+    call.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("written");
+    let chunk = [b"1000\r\n", &[b' '; 0x1000][..], b"\r\n"].concat();
+    while call.write_all(&chunk).is_ok() {}
+    let (_, call) = discovery.call();
+    answer(&call, &list(2, false, &[]));
+    let (_client, _leg) = stand(&daemon, &host);
+}
--- a/tests/standins/mod.rs
+++ b/tests/standins/mod.rs
@@ -159,6 +159,14 @@
         Daemon::launch(self.folder.clone(), &[])
     }
 
+    /// The same, which this one is to hear of in the wake-up in which it goes on.
+    pub fn go_on_beside_another(&self) -> Daemon {
+        let folder = self.folder.clone();
+        let heir = std::thread::spawn(|| Daemon::launch(folder, &[]));
+        self.go_on();
+        heir.join().expect("it starts")
+    }
+
     fn launch(folder: PathBuf, more: &[&str]) -> Daemon {
         let mut command = Command::new(env!("CARGO_BIN_EXE_sagemount"));
         command.arg("serve").arg("--irc").arg(folder.join("irc.json")).args(more);
