--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -21,6 +21,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
+use acquirer::LEAVING_WAIT;
 use handover::Partner;
 use probes::Probes;
 pub use probes::{ProbeEnd, MOST_PROBES};
@@ -30,7 +31,7 @@
 
 use crate::peers::{News, Peers, Word};
 use crate::rebalance::{self, Rebalance};
-use crate::{Action, Balancer, ClassId, Event, Outcome, ServerId, Time};
+use crate::{Action, Balancer, ClassId, Event, Micros, Outcome, RequestId, ServerId, Time};
 
 struct Pool {
     setup: PoolSetup,
@@ -84,6 +85,8 @@
     since: Time,
     /// When it has to be up.
     until: Time,
+    /// When it has to be written, where a repeat is known for one only so long.
+    write_by: Option<Time>,
 }
 
 struct Auth {
@@ -130,6 +133,8 @@
     at: BTreeMap<(PoolId, ServerId), BTreeSet<AuthId>>,
     /// From when it may go, and when it goes at the latest, once it leaves.
     leaving: Option<(Time, Time)>,
+    /// That has come.
+    left: bool,
     effects: Vec<Effect>,
     store: Store,
     peers: Vec<SocketAddr>,
@@ -182,6 +187,7 @@
             shut: None,
             at: BTreeMap::new(),
             leaving: None,
+            left: false,
             effects: Vec::new(),
             store: map,
             gossip_at: (!store.peers.is_empty()).then_some(now),
@@ -199,7 +205,10 @@
     pub fn next_due(&self) -> Option<Time> {
         let wakes = self.pools.iter().filter_map(|pool| pool.wake);
         let timers = self.timers.first().map(|&(at, _)| at);
-        let leaving = self.leaving.map(|(from, to)| if self.auths.is_empty() { from } else { to });
+        let leaving = self
+            .leaving
+            .filter(|_| !self.left)
+            .map(|(from, to)| if self.auths.is_empty() { from } else { to });
         let shared = self.shared.values().copied();
         let rebalancing = self.pools.iter().filter_map(|pool| pool.rebalance.due());
         wakes
@@ -222,6 +231,11 @@
             Input::Met { auth, pool } => self.met(now, auth, pool),
             Input::Authorise { auth, ask } => self.authorise(now, auth, ask),
             Input::Left { auth } => self.left(now, auth),
+            Input::Unasked { auth } => {
+                if self.auths.get(&auth).is_some_and(|auth| auth.phase == Phase::Greeting) {
+                    self.answer(now, auth, Answer::Late);
+                }
+            }
             Input::Closed { auth } => {
                 self.waiting.remove(&auth);
                 self.make_room(now);
@@ -281,13 +295,20 @@
             Input::Leave => self.leave(now),
             Input::Tick => self.tick(now),
         }
-        if self.leaving.is_some_and(|(from, to)| now >= to || now >= from && self.auths.is_empty()) {
-            self.leaving = None;
+        let over = self.leaving.is_some_and(|(from, to)| now >= to || now >= from && self.auths.is_empty());
+        if over && !self.left {
+            // Danger: who comes in until the process is gone is refused like those before.
+            self.left = true;
             // Whoever is still here is owed a word.
             for id in self.auths.keys().copied().collect::<Vec<_>>() {
                 let answer = match self.auths.get(&id).map(|auth| auth.phase) {
                     Some(Phase::Standing) => Answer::Moved,
-                    Some(Phase::Greeting) => Answer::Late,
+                    Some(Phase::Greeting) => {
+                        self.effects.push(Effect::Hear { auth: id });
+                        continue;
+                    }
+                    // Its time may go on for longer than this process; elsewhere it can still be served.
+                    Some(Phase::Placing) if self.may_refuse(id) => self.come_again(id, LEAVING_WAIT),
                     _ => Answer::Failed,
                 };
                 self.give(now, id, answer);
@@ -297,6 +318,18 @@
         }
     }
 
+    /// Whether the client of a request may be told that to come again is harmless.
+    fn may_refuse(&self, id: AuthId) -> bool {
+        self.auths.get(&id).is_some_and(|auth| self.pools[auth.pool].balancer.may_refuse(RequestId(id.0)))
+    }
+
+    /// A refusal that says when to come again, as far as the settings allow.
+    fn come_again(&self, id: AuthId, wait: Micros) -> Answer {
+        let settings = self.auths.get(&id).map(|auth| &self.pools[auth.pool].setup.settings);
+        let most = settings.filter(|settings| settings.retry_after).map_or(0, |s| s.max_retry_after);
+        Answer::Refused(wait.min(most))
+    }
+
     // ---- Time ----
 
     fn tick(&mut self, now: Time) {
@@ -304,13 +337,16 @@
             self.set_due(id, None);
             let Some(auth) = self.auths.get(&id) else { continue };
             match (auth.phase, auth.leg) {
-                (Phase::Greeting, _) => {
-                    self.answer(now, id, Answer::Late);
-                }
+                (Phase::Greeting, _) => self.effects.push(Effect::Hear { auth: id }),
                 (Phase::Placing, leg) => {
                     let written = leg.is_some_and(|leg| leg.written);
+                    let over = leg.and_then(|leg| leg.write_by).is_some_and(|by| by <= now);
                     self.effects.push(Effect::CloseLeg { auth: id });
-                    let outcome = if written { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                    let outcome = match (written, over) {
+                        (true, _) => Outcome::TimedOut,
+                        (false, true) => Outcome::NotSent,
+                        (false, false) => Outcome::ConnectFailed,
+                    };
                     self.leg_failed(now, id, outcome);
                 }
                 (Phase::Adopting(until, host), _) => self.adopt_again(now, id, until, host),
@@ -362,8 +398,9 @@
         let mut actions = VecDeque::from(actions);
         while let Some(action) = actions.pop_front() {
             match action {
-                Action::Send { request, server, timeout } => {
-                    self.open_leg(now, AuthId(request.0), server, timeout)
+                Action::Send { request, server, timeout, within } => {
+                    let write_by = within.map(|within| now.plus(within));
+                    self.open_leg(now, AuthId(request.0), server, timeout, write_by)
                 }
                 Action::Refuse { request, retry_after } => {
                     self.answer(now, AuthId(request.0), Answer::Refused(retry_after))
