--- a/src/rules.rs
+++ b/src/rules.rs
@@ -497,7 +497,7 @@
         let holds = self.settings.set_up_holds();
         if self.slowed.is_none_or(|at| now.since(at) >= holds) {
             self.slowed = Some(now);
-            self.pace *= WORD_LEAVES.min(self.settings.setup_aim() as f64 / took.max(1) as f64);
+            self.pace *= WORD_LEAVES.min(self.settings.aim_over(took));
         }
         // Danger: risen again between two cuts, it would never get low enough for a store that bears little.
         self.pace_at = now.plus(holds);
--- a/src/types.rs
+++ b/src/types.rs
@@ -179,6 +179,14 @@
         self.classes.iter().map(|c| c.setup_aim).filter(|&aim| aim > 0).min().unwrap_or(0)
     }
 
+    /// The set-up aim over the time that a set-up took; 1 where no aim is known.
+    pub(crate) fn aim_over(&self, took: Micros) -> f64 {
+        match self.setup_aim() {
+            0 => 1.0,
+            aim => aim as f64 / took.max(1) as f64,
+        }
+    }
+
     /// For so long one word of slow set-ups is enough: what was let in before it is still being set up.
     pub(crate) fn set_up_holds(&self) -> Micros {
         2 * self.setup_aim()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -202,6 +202,18 @@
     assert!(days.stood > 600, "{} of the 4800 that the store bears", days.stood);
 }
 
+/// Danger: without an aim how late a set-up is cannot be told; then nobody at all would be let in.
+#[test]
+fn where_no_aim_for_set_ups_is_known_a_word_of_slow_ones_lets_half_in() {
+    let mut settings = Settings { max_attempts: 1, ..settings() };
+    settings.classes.iter_mut().for_each(|class| class.setup_aim = 0);
+    let mut days = SharedStore::of(settings, 30, MS, usize::MAX, false);
+    days.event(0, Event::SetUpSlow);
+    days.pass(40, 500 * MS);
+    let sent: u32 = days.attempts.values().sum();
+    assert!((8..=32).contains(&sent), "{sent} of 40 were sent on");
+}
+
 /// Lists and settings that make little sense each get a definite answer at once: a server that takes new connections,
 /// or a refusal.
 #[test]
