Log what discovery sends and why requests are refused, and count both

Cause: in the drain incident neither log nor metrics showed how old the endpoint list was, which generation was in use, or why a request was refused. Change: a log line for each list or change with the time since the answer before, the same time at each failed call; at debug level each attempt, its end, and each refusal with its reason. Metrics refusals.REASON, discovery_failures and endpoint_list_age_ms. Actions Reject and Fail carry the reason. The test of a rejection without servers now expects the log line after the answer, that of metrics the new figures in their order. No decision changes.

--- a/src/bin/simulator-adapter/adapter.rs
+++ b/src/bin/simulator-adapter/adapter.rs
@@ -61,7 +61,7 @@
             reply::print_action(reply, action, |request| instance.request_name(request));
         }
         for action in self.actions.drain(..) {
-            if let Action::Reject { request, .. } | Action::Fail { request } = action {
+            if let Action::Reject { request, .. } | Action::Fail { request, .. } = action {
                 instance.forget_untracked(request);
             }
         }
--- a/src/bin/simulator-adapter/reply.rs
+++ b/src/bin/simulator-adapter/reply.rs
@@ -25,10 +25,10 @@
             let (name, server, timeout) = (name(*request), server.0, Millis(*timeout));
             writeln!(out, "ATTEMPT\txid={name}\tbackend={server}\tpatience={timeout}")
         }
-        Action::Reject { request, retry_after } => {
+        Action::Reject { request, retry_after, .. } => {
             writeln!(out, "DENY\txid={}\thold-off={}", name(*request), Millis(*retry_after))
         }
-        Action::Fail { request } => writeln!(out, "FINISH_ERROR\txid={}", name(*request)),
+        Action::Fail { request, .. } => writeln!(out, "FINISH_ERROR\txid={}", name(*request)),
         Action::CancelAttempt { request, attempt } => {
             writeln!(out, "RETRACT\txid={}\tleg={attempt}", name(*request))
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -182,7 +182,7 @@
             if let Some(silent) = self.requests.get(&request).and_then(|r| r.attempt) {
                 self.record_failure(silent.endpoint.server, silent.sent_at);
             }
-            self.send_final_answer(request);
+            self.send_final_answer(request, RefusalReason::OutOfTime);
         }
         if self.endpoint_watch.due.is_some_and(|at| at <= now) {
             self.endpoint_watch.due = None;
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -18,7 +18,7 @@
         // All that comes again at once would keep a session store in its queue for good.
         match self.admission.share >= 1.0 || self.rng.random_bool(self.admission.share) {
             true => self.continue_request(id),
-            false => self.send_final_answer(id),
+            false => self.send_final_answer(id, RefusalReason::AdmissionRate),
         }
     }
 
@@ -38,10 +38,15 @@
     fn continue_request(&mut self, id: RequestId) {
         let is_waiting = |r: &&Request| !r.answered && r.attempt.is_none();
         let Some(request) = self.requests.get(&id).filter(is_waiting) else { return };
-        let is_spent = self.now >= request.due || request.attempts >= self.settings.max_attempts;
-        match if is_spent { None } else { self.select_server(id) } {
+        if self.now >= request.due {
+            return self.send_final_answer(id, RefusalReason::OutOfTime);
+        }
+        if request.attempts >= self.settings.max_attempts {
+            return self.send_final_answer(id, RefusalReason::AttemptsSpent);
+        }
+        match self.select_server(id) {
             Some(server) => self.start_attempt(id, server),
-            None => self.send_final_answer(id),
+            None => self.send_final_answer(id, RefusalReason::NoServer),
         }
     }
 
@@ -68,7 +73,7 @@
     }
 
     /// The one place that answers. Rule 1: once; rule 2: rejected only where a retry is harmless.
-    pub(super) fn send_final_answer(&mut self, id: RequestId) {
+    pub(super) fn send_final_answer(&mut self, id: RequestId, reason: RefusalReason) {
         let Some(request) = self.requests.get(&id).filter(|r| !r.answered) else { return };
         if let Some(Attempt { number: attempt, .. }) = request.attempt.filter(|_| self.settings.cancel) {
             self.actions.push(Action::CancelAttempt { request: id, attempt });
@@ -77,8 +82,8 @@
         let longest = if self.settings.retry_after { self.settings.max_retry_after } else { 0 };
         let retry_after = jittered(&mut self.rng, longest * 2 / 3);
         self.actions.push(match self.may_reject(id) {
-            true => Action::Reject { request: id, retry_after },
-            false => Action::Fail { request: id },
+            true => Action::Reject { request: id, reason, retry_after },
+            false => Action::Fail { request: id, reason },
         });
         self.mark_answered(id);
     }
@@ -138,7 +143,7 @@
         match needs_answer {
             false => self.mark_answered(id),
             // What the servers share is not elsewhere, and each further attempt is in its queue.
-            true if has_shared_cause => self.send_final_answer(id),
+            true if has_shared_cause => self.send_final_answer(id, RefusalReason::SharedFault),
             true => self.continue_request(id),
         }
     }
--- a/src/protocol/admin.rs
+++ b/src/protocol/admin.rs
@@ -10,6 +10,7 @@
 use winnow::Parser;
 
 use crate::routing::{AdminCall, AdminResponse, Metrics};
+use crate::RefusalReason;
 
 /// The longest call in bytes, its line's end included.
 pub const MAX_CALL_LENGTH: usize = 256;
@@ -30,6 +31,8 @@
 const RATE_MILLI: &str = "rate_milli";
 const HELD: &str = "held";
 const MILLI_PER_UNIT: f64 = 1000.0;
+const REFUSALS: &str = "refusals";
+const MICROS_PER_MILLISECOND: u64 = 1000;
 
 /// The end of a response with metrics.
 const END: &str = "END\r\n";
@@ -97,6 +100,14 @@
     lines.gauge("outstanding", metrics.outstanding);
     lines.gauge("discovered", metrics.discovered);
     lines.gauge("ejected", metrics.ejected);
+    for reason in RefusalReason::ALL {
+        let count = metrics.refusals.get(&reason).copied().unwrap_or_default();
+        lines.counter(&format!("{REFUSALS}.{}", reason.name()), count);
+    }
+    lines.counter("discovery_failures", metrics.discovery_failures);
+    if let Some(age) = metrics.endpoint_list_age {
+        lines.gauge("endpoint_list_age_ms", age / MICROS_PER_MILLISECOND);
+    }
     for (front, moves) in &metrics.rebalance {
         let front = metric_name_part(front);
         lines.counter(&format!("rebalance.{front}.{MOVED}"), moves.moved);
--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -2,9 +2,9 @@
 
 use std::collections::VecDeque;
 
-use super::{Answer, ConnectionId, Effect, PoolId, State};
+use super::{Answer, ConnectionId, Effect, LogEvent, PoolId, State};
 use crate::peers::Observation;
-use crate::{Action, Event, Micros, Outcome, RequestId, Time};
+use crate::{Action, Event, Micros, Outcome, RefusalReason, RequestId, Time};
 
 impl State {
     /// Hands an event to a pool's balancer and carries out its actions in order.
@@ -24,10 +24,12 @@
             Action::StartAttempt { request, server, timeout, within } => {
                 self.open_attempt(now, connection_id(request), server, timeout, within);
             }
-            Action::Reject { request, retry_after } => {
-                self.answer(now, connection_id(request), Answer::Rejected(retry_after));
+            Action::Reject { request, reason, retry_after } => {
+                self.refuse(now, connection_id(request), reason, Answer::Rejected(retry_after));
+            }
+            Action::Fail { request, reason } => {
+                self.refuse(now, connection_id(request), reason, Answer::Failed);
             }
-            Action::Fail { request } => self.answer(now, connection_id(request), Answer::Failed),
             Action::CancelAttempt { request, attempt } => {
                 return self.cancel_attempt(now, pool, request, attempt)
             }
@@ -43,6 +45,14 @@
         Vec::new()
     }
 
+    /// Answers a client for whom there is no server, and records why.
+    fn refuse(&mut self, now: Time, id: ConnectionId, reason: RefusalReason, answer: Answer) {
+        let Some(pool) = self.connections.pool_of(id) else { return };
+        self.pools[pool].count_refusal(reason);
+        self.answer(now, id, answer);
+        self.effects.push(Effect::Log(LogEvent::RequestRefused { connection: id, reason }));
+    }
+
     fn cancel_attempt(&mut self, now: Time, pool: PoolId, request: RequestId, attempt: u32) -> Vec<Action> {
         let id = connection_id(request);
         if self.connections.attempt(id, attempt).is_some() {
--- a/src/routing/endpoint_updates.rs
+++ b/src/routing/endpoint_updates.rs
@@ -33,12 +33,13 @@
     ) {
         self.apply_endpoint_update(now, pool_id, whole, endpoints);
         if let Some(pool) = self.pools.get_mut(pool_id) {
-            pool.listed.mark_received();
+            pool.listed.mark_received(now);
         }
         self.notify_rebalancer(now, pool_id, RebalanceEvent::EndpointListReceived);
     }
 
     pub(super) fn on_endpoint_watch_lost(&mut self, now: Time, pool: PoolId) {
+        self.pools[pool].count_discovery_failure();
         self.notify_rebalancer(now, pool, RebalanceEvent::EndpointListLost);
         self.dispatch(now, pool, Event::EndpointWatchFailed);
     }
--- a/src/routing/log_event.rs
+++ b/src/routing/log_event.rs
@@ -3,7 +3,11 @@
 use std::fmt;
 use std::net::SocketAddr;
 
+use tracing::Level;
+
+use super::ConnectionId;
 use crate::rebalance::HoldReason;
+use crate::RefusalReason;
 
 /// One line of the log. The on-call page lists the texts below: keep one literal template for each variant.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,6 +62,13 @@
         /// Connections that are open now.
         connections: usize,
     },
+    /// A request is answered without a server.
+    RequestRefused {
+        /// Its connection.
+        connection: ConnectionId,
+        /// Why.
+        reason: RefusalReason,
+    },
     /// No connection of a pool is migrated for balance from now on.
     RebalancingHeld {
         /// Name of the pool's front.
@@ -72,6 +83,16 @@
     },
 }
 
+impl LogEvent {
+    /// The level at which the line is logged: what comes with each request is for debugging.
+    pub(crate) fn level(&self) -> Level {
+        match self {
+            LogEvent::RequestRefused { .. } => Level::DEBUG,
+            _ => Level::INFO,
+        }
+    }
+}
+
 impl fmt::Display for LogEvent {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -105,6 +126,9 @@
             LogEvent::ShutdownStarted { connections } => {
                 write!(formatter, "leaving: {connections} connections to migrate")
             }
+            LogEvent::RequestRefused { connection, reason } => {
+                write!(formatter, "connection {} refused: {}", connection.0, reason.name())
+            }
             LogEvent::RebalancingHeld { pool, reason } => {
                 write!(formatter, "{pool}: rebalancing held: {reason}")
             }
--- a/src/routing/metrics.rs
+++ b/src/routing/metrics.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::rebalance::RebalanceMetrics;
+use crate::{Micros, RefusalReason};
 
 /// Outcomes of the connections of one class, counted since the process started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,6 +29,13 @@
     pub discovered: u64,
     /// Listed servers that are excluded or ejected now.
     pub ejected: u64,
+    /// Requests that were answered without a server, by reason.
+    pub refusals: BTreeMap<RefusalReason, u64>,
+    /// Calls for the endpoint list that failed.
+    pub discovery_failures: u64,
+    /// The time since discovery last sent an endpoint list or confirmed it, of the pool where that is longest;
+    /// `None` where no list was received.
+    pub endpoint_list_age: Option<Micros>,
     /// Of each front that rebalances, by its name.
     pub rebalance: BTreeMap<String, RebalanceMetrics>,
 }
--- a/src/routing/outcome.rs
+++ b/src/routing/outcome.rs
@@ -1,5 +1,7 @@
 //! How attempts end, and what clients are answered.
 
+use std::fmt;
+
 use crate::Micros;
 
 /// How an attempt ended, as seen at its server or in the network.
@@ -23,6 +25,21 @@
     VerdictForwarded,
 }
 
+impl fmt::Display for AttemptOutcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            AttemptOutcome::Served => "served",
+            AttemptOutcome::RedirectedByServer => "redirected by the server",
+            AttemptOutcome::Error => "error",
+            AttemptOutcome::Rejected => "rejected",
+            AttemptOutcome::ConnectFailed => "not connected",
+            AttemptOutcome::Reset => "reset",
+            AttemptOutcome::OutOfSockets => "no socket left",
+            AttemptOutcome::VerdictForwarded => "verdict forwarded",
+        })
+    }
+}
+
 /// A final answer, or the notice that an established connection is migrated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -11,7 +11,7 @@
 };
 use crate::peers::Peers;
 use crate::rebalance::Rebalance;
-use crate::{Balancer, ClassId, Micros, ServerId, Time};
+use crate::{Balancer, ClassId, Micros, RefusalReason, ServerId, Time};
 
 /// The parts of a pool, each with its own invariants.
 pub(super) struct Pool {
@@ -30,6 +30,10 @@
     pub(super) load_reports: LoadReports,
     /// Outcomes by class, in the order of the configuration.
     class_counters: Vec<ClassCounters>,
+    /// Requests that were answered without a server.
+    refusals: BTreeMap<RefusalReason, u64>,
+    /// Calls for the endpoint list that failed.
+    discovery_failures: u64,
     /// When the balancer wants [`crate::Event::TimerFired`].
     balancer_timer: Option<Time>,
 }
@@ -38,8 +42,8 @@
 #[derive(Default)]
 pub(super) struct ListedEndpoints {
     by_name: BTreeMap<String, Endpoint>,
-    /// Whether the list was received since the start, and is not just the cached one.
-    received: bool,
+    /// When the list was last received or confirmed; `None` while it is just the cached one.
+    received_at: Option<Time>,
 }
 
 impl ListedEndpoints {
@@ -61,14 +65,14 @@
         }
     }
 
-    pub(super) fn mark_received(&mut self) {
-        self.received = true;
+    pub(super) fn mark_received(&mut self, now: Time) {
+        self.received_at = Some(now);
     }
 
     /// Whether the pool can serve by this list. With discovery down no process would ever be ready, though the
     /// cached list may do.
     pub(super) fn is_usable(&self) -> bool {
-        self.received || !self.by_name.is_empty()
+        self.received_at.is_some() || !self.by_name.is_empty()
     }
 }
 
@@ -85,6 +89,8 @@
             admitted: AdmittedConnections::default(),
             load_reports: LoadReports::default(),
             class_counters: vec![ClassCounters::default(); config.classes.len()],
+            refusals: BTreeMap::new(),
+            discovery_failures: 0,
             balancer_timer: None,
             config,
         }
@@ -125,6 +131,14 @@
         self.class_counters.get_mut(class.0 as usize)
     }
 
+    pub(super) fn count_refusal(&mut self, reason: RefusalReason) {
+        *self.refusals.entry(reason).or_default() += 1;
+    }
+
+    pub(super) fn count_discovery_failure(&mut self) {
+        self.discovery_failures += 1;
+    }
+
     /// Adds this pool's share to the metrics.
     pub(super) fn add_to_metrics(&self, now: Time, metrics: &mut Metrics) {
         // A class that is no longer configured has an empty name.
@@ -139,6 +153,13 @@
         metrics.outstanding += self.admitted.count() as u64;
         metrics.discovered += self.endpoints.ids().count() as u64;
         metrics.ejected += self.endpoints.ids().filter(|&server| self.is_avoided(now, server)).count() as u64;
+        for (&reason, count) in &self.refusals {
+            *metrics.refusals.entry(reason).or_default() += count;
+        }
+        metrics.discovery_failures += self.discovery_failures;
+        // A list from the operator's file does not age.
+        let received_at = self.listed.received_at.filter(|_| self.config.discovery.is_some());
+        metrics.endpoint_list_age = metrics.endpoint_list_age.max(received_at.map(|at| now.since(at)));
         if self.config.rebalance.enabled {
             metrics.rebalance.insert(self.config.name.to_owned(), self.rebalance.metrics());
         }
--- a/src/transport/discovery_watch.rs
+++ b/src/transport/discovery_watch.rs
@@ -20,7 +20,7 @@
 use crate::protocol::http::HttpError;
 use crate::protocol::http::{self, EndpointListUpdate};
 use crate::protocol::json::DecodeError;
-use crate::routing::{Input, PoolId};
+use crate::routing::{Endpoint, Input, Lifecycle, PoolId};
 
 /// How long discovery holds a call while nothing changes. Its changes count as known 6 s later at the latest,
 /// and a watch that has fallen silent looks like one on which nothing happens; so a call is soon over.
@@ -110,6 +110,7 @@
         connection: DiscoveryConnection { discovery, open: None },
         generation,
         hold,
+        answered_at: Instant::now(),
     };
     Watch { requests, task: tokio::task::spawn_local(follower.run(requested)) }
 }
@@ -123,6 +124,8 @@
     generation: Option<u64>,
     /// How long discovery is to hold the next call.
     hold: Duration,
+    /// When discovery last sent a list, or when the watch was started.
+    answered_at: Instant,
 }
 
 impl EndpointListFollower {
@@ -132,7 +135,7 @@
         while requested.recv().await.is_some() {
             while requested.try_recv().is_ok() {}
             let error = self.follow_until_error().await;
-            log_event!(LogEvent::EndpointListFailed { error: &error });
+            log_event!(LogEvent::EndpointListFailed { error: &error, age: self.answered_at.elapsed() });
             self.connection.open = None;
             self.driver.feed(Input::EndpointWatchLost { pool: self.pool });
         }
@@ -171,9 +174,20 @@
         !update.whole && self.generation.is_some_and(|held| update.generation < held)
     }
 
+    fn log_update(&self, generation: u64, endpoints: &[Endpoint]) {
+        if endpoints.is_empty() {
+            return;
+        }
+        let draining = endpoints.iter().filter(|endpoint| endpoint.lifecycle == Lifecycle::Draining).count();
+        let age = self.answered_at.elapsed();
+        log_event!(LogEvent::EndpointListUpdated { generation, entries: endpoints.len(), draining, age });
+    }
+
     async fn apply_update(&mut self, update: EndpointListUpdate, called_at: Instant) {
         let EndpointListUpdate { generation, whole, endpoints } = update;
         let is_unchanged = endpoints.is_empty() && self.generation == Some(generation);
+        self.log_update(generation, &endpoints);
+        self.answered_at = Instant::now();
         self.generation = Some(generation);
         self.hold = HOLD_TIMEOUT;
         self.driver.feed(Input::EndpointsUpdated { pool: self.pool, whole, endpoints });
--- a/src/transport/driver/mod.rs
+++ b/src/transport/driver/mod.rs
@@ -20,6 +20,7 @@
 use super::commands::{ConnectionCommand, PeerProcessMessage, ProbeCommand, WatchCommand};
 use super::datagrams::GossipSocket;
 use super::files::Files;
+use super::log_event::{log_event, LogEvent};
 use super::observation::Observer;
 use super::record::Recorder;
 use crate::protocol::Front;
@@ -139,6 +140,9 @@
         if let Some(observer) = self.observer.borrow_mut().as_mut() {
             observer.observe_input(self.now(), &input);
         }
+        if let Input::AttemptEnded { connection, attempt, end } = input {
+            log_event!(LogEvent::AttemptEnded { connection, attempt, end });
+        }
         let (effects, deadline_changed) = {
             let mut state = self.state.borrow_mut();
             let deadline = state.next_due();
@@ -160,9 +164,11 @@
     fn carry_out(&self, effect: Effect) {
         match effect {
             Effect::OpenAttempt { connection, attempt, address, wait } => {
+                log_event!(LogEvent::AttemptOpened { connection, attempt, address: &address });
                 self.send_command(connection, ConnectionCommand::OpenAttempt { attempt, address, wait });
             }
             Effect::CloseAttempt { connection } => {
+                log_event!(LogEvent::AttemptClosed { connection });
                 self.send_command(connection, ConnectionCommand::CloseAttempt);
             }
             Effect::AbortConnection { connection } => self.send_command(connection, ConnectionCommand::Abort),
@@ -192,7 +198,7 @@
             }
             Effect::PersistExclusions(excluded) => self.persist_exclusions(&excluded),
             Effect::AdminReply { admin_client, reply } => self.send_admin_reply(admin_client, reply),
-            Effect::Log(event) => crate::log!(info, "{event}"),
+            Effect::Log(event) => log_event!(event),
             Effect::Exit => self.request_exit(),
         }
     }
--- a/src/transport/log_event.rs
+++ b/src/transport/log_event.rs
@@ -6,11 +6,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 use tracing::Level;
 
 use super::discovery_watch::DiscoveryError;
 use super::error::TransportError;
+use crate::routing::{AttemptOutcome, ConnectionId};
 
 /// A line for the log.
 #[derive(Debug)]
@@ -39,12 +41,20 @@
     ReplicaMessageUnreadable { from: SocketAddr },
     /// A datagram for gossip cannot be read, or comes from an unknown address.
     GossipUnreadable { from: SocketAddr },
+    /// Discovery sent a list, or changes of it.
+    EndpointListUpdated { generation: u64, entries: usize, draining: usize, age: Duration },
     /// Discovery did not answer; the same call is made once more.
     EndpointListRetried,
     /// Discovery sent changes of an older endpoint list.
     EndpointListOutdated { generation: u64 },
     /// A call to discovery failed.
-    EndpointListFailed { error: &'a DiscoveryError },
+    EndpointListFailed { error: &'a DiscoveryError, age: Duration },
+    /// An attempt of a request is made.
+    AttemptOpened { connection: ConnectionId, attempt: u32, address: &'a str },
+    /// An attempt is given up by this process.
+    AttemptClosed { connection: ConnectionId },
+    /// An attempt ended at its server or in the network.
+    AttemptEnded { connection: ConnectionId, attempt: u32, end: AttemptOutcome },
     /// The recording has reached its size.
     RecordingFull { file: &'a Path },
     /// The recording cannot be written.
@@ -83,7 +93,11 @@
             | LogEvent::PlatformReconfigured { .. }
             | LogEvent::IrcListening { .. }
             | LogEvent::IrcReconfigured { .. }
+            | LogEvent::EndpointListUpdated { .. }
             | LogEvent::ShutDown => Level::INFO,
+            LogEvent::AttemptOpened { .. }
+            | LogEvent::AttemptClosed { .. }
+            | LogEvent::AttemptEnded { .. } => Level::DEBUG,
             LogEvent::AcceptFailed { .. }
             | LogEvent::GossipUnavailable { .. }
             | LogEvent::ReplicaMessageUnreadable { .. }
@@ -145,6 +159,14 @@
             LogEvent::GossipUnreadable { from } => {
                 write!(formatter, "a datagram from {from} is not gossip of the tier")
             }
+            LogEvent::EndpointListUpdated { generation, entries, draining, age } => {
+                write!(
+                    formatter,
+                    "endpoint list: generation {generation}, {entries} entries, {draining} draining, {} ms \
+                     after the last answer",
+                    age.as_millis()
+                )
+            }
             LogEvent::EndpointListRetried => {
                 write!(formatter, "endpoint list: no answer in time, asked again")
             }
@@ -154,7 +176,18 @@
                     "endpoint list: generation {generation} after a later one, whole list requested"
                 )
             }
-            LogEvent::EndpointListFailed { error } => write!(formatter, "endpoint list: {error}"),
+            LogEvent::EndpointListFailed { error, age } => {
+                write!(formatter, "endpoint list: {error}, {} ms after the last answer", age.as_millis())
+            }
+            LogEvent::AttemptOpened { connection, attempt, address } => {
+                write!(formatter, "connection {}: attempt {attempt} at {address}", connection.0)
+            }
+            LogEvent::AttemptClosed { connection } => {
+                write!(formatter, "connection {}: attempt given up", connection.0)
+            }
+            LogEvent::AttemptEnded { connection, attempt, end } => {
+                write!(formatter, "connection {}: attempt {attempt} ended: {end}", connection.0)
+            }
             LogEvent::RecordingFull { file } => {
                 write!(formatter, "{}: the recording is full", file.display())
             }
@@ -201,6 +234,7 @@
         match event.level() {
             ::tracing::Level::ERROR => $crate::log!(error, "{event}"),
             ::tracing::Level::WARN => $crate::log!(warn, "{event}"),
+            ::tracing::Level::DEBUG => $crate::log!(debug, "{event}"),
             _ => $crate::log!(info, "{event}"),
         }
     }};
--- a/src/types/action.rs
+++ b/src/types/action.rs
@@ -2,6 +2,43 @@
 
 use super::{Micros, RequestId, ServerId};
 
+/// Why a request is answered without a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RefusalReason {
+    /// Set-ups are slow at all servers: only a share of the requests is admitted.
+    AdmissionRate,
+    /// No server is ready for it.
+    NoServer,
+    /// All attempts that it may have were made.
+    AttemptsSpent,
+    /// Its time is over.
+    OutOfTime,
+    /// Its attempt failed for what all servers share.
+    SharedFault,
+}
+
+impl RefusalReason {
+    /// Every reason, in the order in which metrics list them.
+    pub const ALL: [RefusalReason; 5] = [
+        RefusalReason::AdmissionRate,
+        RefusalReason::NoServer,
+        RefusalReason::AttemptsSpent,
+        RefusalReason::OutOfTime,
+        RefusalReason::SharedFault,
+    ];
+
+    /// The name in metrics and in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::AdmissionRate => "admission_rate",
+            RefusalReason::NoServer => "no_server",
+            RefusalReason::AttemptsSpent => "attempts_spent",
+            RefusalReason::OutOfTime => "out_of_time",
+            RefusalReason::SharedFault => "shared_fault",
+        }
+    }
+}
+
 /// What the host is to do, in the order given.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -22,6 +59,8 @@
     Reject {
         /// The request.
         request: RequestId,
+        /// Why.
+        reason: RefusalReason,
         /// How long the client should wait before a retry; 0 for no advice.
         retry_after: Micros,
     },
@@ -29,6 +68,8 @@
     Fail {
         /// The request.
         request: RequestId,
+        /// Why.
+        reason: RefusalReason,
     },
     /// Stop waiting for an attempt.
     CancelAttempt {
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -12,7 +12,7 @@
 mod settings;
 mod time;
 
-pub use action::Action;
+pub use action::{Action, RefusalReason};
 pub use endpoint::{EndpointEntry, EndpointState, LearnedState, Occupancy};
 pub use event::{Event, Outcome};
 pub use ids::{CellId, ClassId, ConnectionId, GroupHash, GroupId, RequestId, ServerId, TenantId, ZoneId};
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -239,7 +239,9 @@
         edge_node.results.chat.aborted:0|c\r\nedge_node.results.wallet.succeeded:0|c\r\n\
         edge_node.results.wallet.declined:0|c\r\nedge_node.results.wallet.aborted:0|c\r\n";
     let rest = "edge_node.forwards:0|c\r\nedge_node.outstanding:0|g\r\nedge_node.discovered:5|g\r\n\
-        edge_node.ejected:0|g\r\nEND\r\n";
+        edge_node.ejected:0|g\r\nedge_node.refusals.admission_rate:0|c\r\nedge_node.refusals.no_server:0|c\r\n\
+        edge_node.refusals.attempts_spent:0|c\r\nedge_node.refusals.out_of_time:0|c\r\n\
+        edge_node.refusals.shared_fault:0|c\r\nedge_node.discovery_failures:0|c\r\nEND\r\n";
     assert_eq!(text(&mut harness), format!("{classes}{rest}"));
     harness.establish_connection();
     let metrics = text(&mut harness);
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -4,7 +4,7 @@
 
 use connection_balancer::peers::{GossipMessage, Observation};
 use connection_balancer::routing::*;
-use connection_balancer::{Class, Idempotency, LoadReport, ServerId};
+use connection_balancer::{Class, Idempotency, LoadReport, RefusalReason, ServerId};
 use reducer_harness::{connection_request, ReducerHarness, SERVERS, WAIT};
 
 /// The clients that are migrated while their server reports message times for 20 seconds.
@@ -341,7 +341,10 @@
     }
     let connection = harness.connect_client();
     let effects = harness.feed(Input::ConnectionRequested { connection, request: connection_request() });
-    assert!(matches!(effects[..], [Effect::Answer { answer: Answer::Rejected(1..), .. }]), "{effects:?}");
+    let [Effect::Answer { answer: Answer::Rejected(1..), .. }, Effect::Log(event)] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(event, &LogEvent::RequestRefused { connection, reason: RefusalReason::NoServer });
 }
 
 /// Hundreds of connections without a request, or not closed after their answer, would use up the descriptors. The oldest
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -149,7 +149,7 @@
                     self.start_attempt(request, server, timeout);
                 }
                 Action::Reject { request, .. } => self.reject(request),
-                Action::Fail { request } => self.answer(request),
+                Action::Fail { request, .. } => self.answer(request),
                 Action::CancelAttempt { request, attempt } => {
                     assert!(attempt < self.requests[&request].attempts, "an attempt that was made");
                 }
