Reproduce the drain incident: three failing tests

Cause: seen in the replay of the incident, forced here on four real processes over loopback. All watches fall silent, a server begins to drain, and discovery answers 503 until 2 s after the missed change counts. Change: tests/stale_list.rs with a discovery that several processes share and that falls silent or is overloaded on command; a test of the wait between calls in tests/decisions.rs.

--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -744,6 +744,30 @@
     }
 }
 
+/// Found beside the incident of 3 December 2026: after an outage of 10 s the wait for the next call was up to 15 s. What
+/// discovery lists counts as notified 6 s after it can be reached again, of which an answer may take 2 s.
+#[test]
+fn polls_the_endpoint_list_in_time_however_long_discovery_was_down() {
+    const LONGEST_WAIT: Micros = 4 * SECOND;
+    for (balancers, poll_interval) in [(1, 10), (4, 10), (40, 3), (300, 10), (900, 60)] {
+        let poll_interval = poll_interval * SECOND;
+        let settings = Settings { balancers, poll_required: true, poll_interval, ..settings() };
+        let mut harness = Harness::new(settings, &endpoints(1));
+        for failures in 1..=40 {
+            harness.handle(Event::EndpointWatchFailed);
+            let wait = harness.actions.iter().find_map(|action| match action {
+                Action::SetTimer(wait) => Some(*wait),
+                _ => None,
+            });
+            let wait = wait.expect("it will be asked again");
+            assert!(wait <= LONGEST_WAIT, "{balancers} balancers, {failures} failures: {wait}");
+            harness.advance(wait);
+            harness.handle(Event::TimerFired);
+            assert!(harness.actions.contains(&Action::WatchEndpoints));
+        }
+    }
+}
+
 #[test]
 fn invalid_weights_count_as_unknown() {
     for weight in [0.0, -3.0, f64::NAN, f64::INFINITY, 1e308] {
--- a/tests/fake_servers/mod.rs
+++ b/tests/fake_servers/mod.rs
@@ -1,6 +1,8 @@
 //! Servers, clients and a discovery on loopback for tests over real sockets, and the daemon between them.
 #![allow(dead_code)]
 
+pub(crate) mod discovery_service;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
--- /dev/null
+++ b/tests/stale_list.rs
@@ -0,0 +1,160 @@
+//! A list that discovery changed while a watch on it was silent.
+//!
+//! Incident of 3 December 2026 (`docs/incidents/2026-12-03-drain-after-silent-watch.md`): one of four processes sent a
+//! request to a server after the grace of its drain. All watches had fallen silent, and half a second later servers began
+//! to drain. The processes opened their watches anew together; discovery had too many calls and answered some 503, and
+//! the growing wait between their calls went past the 6 s after which a missed change counts as notified. Shown by the
+//! record of a replay: three 503 at one process, and the new list there 0.2 s after the end of the grace.
+
+mod fake_servers;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use fake_servers::discovery_service::{DiscoveryService, Service};
+use fake_servers::{endpoint, endpoint_list, irc_config, wait_until, Client, Daemon, ManualServer};
+
+/// What a silent watch misses counts as notified after this long.
+const NOTIFIED_AFTER: Duration = Duration::from_secs(6);
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+/// By so much each limit is longer on sockets.
+const SOCKET_SLACK: Duration = Duration::from_millis(50);
+const DAEMONS: usize = 4;
+
+/// A server that accepts every request, and records when each arrived.
+struct RecordingServer {
+    address: SocketAddr,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl RecordingServer {
+    fn start() -> RecordingServer {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let recorded = arrivals.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let recorded = recorded.clone();
+                std::thread::spawn(move || accept_request(&stream, &recorded));
+            }
+        });
+        RecordingServer { address, arrivals }
+    }
+
+    fn last_arrival(&self) -> Option<Instant> {
+        self.arrivals.lock().unwrap().last().copied()
+    }
+}
+
+fn accept_request(mut stream: &TcpStream, arrivals: &Mutex<Vec<Instant>>) {
+    let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+    if lines.next().is_some() {
+        arrivals.lock().unwrap().push(Instant::now());
+        let _ = stream.write_all(b"UP 1\r\n");
+    }
+    // Until the balancer closes.
+    lines.for_each(drop);
+}
+
+fn config(discovery: SocketAddr, delivery: &str, known: &[String]) -> String {
+    format!(
+        r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "5",
+            "known": {}, "limits": {{"sockets": 160, "memory_mb": 32}},
+            "settings": {{"discovery": "{delivery}", "balancers": {DAEMONS}, "zones": ["a"],
+              "classes": [{{"name": "chat", "deadline": 9000, "repeat": "repeatable"}}],
+              "invariants": {{"drain-grace": {}, "must-ask-in": 10000}},
+              "limits": {{"connect-timeout": 8000, "try-limit": 6, "cancel": true, "retry-after": true}}}}}}"#,
+        endpoint_list(1, true, known),
+        DRAIN_GRACE.as_millis()
+    )
+}
+
+fn start_daemon(discovery: &DiscoveryService, delivery: &str, known: &[String]) -> Daemon {
+    Daemon::start(&irc_config(&[], ""), Some(&config(discovery.address, delivery, known)))
+}
+
+fn connect_and_open(address: &str) -> Client {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let mut client = Client::connect(address);
+    client.send_line(&format!("OPEN id{} 7f3a c=chat,d=9000", COUNT.fetch_add(1, Ordering::Relaxed)));
+    client
+}
+
+/// One client after another, until this time: whether each was served.
+fn request_until(address: &str, end: Instant) -> Vec<bool> {
+    let mut served = Vec::new();
+    while Instant::now() < end {
+        let mut client = connect_and_open(address);
+        let answer = client.read_line();
+        assert!(answer == "UP 1" || answer.starts_with("BUSY"), "one answer, not {answer:?}");
+        served.push(answer == "UP 1");
+        drop(client);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    served
+}
+
+/// All watches fall silent, a server begins to drain, and discovery answers the watches that are opened anew 503 until
+/// after the grace. Requests may go to no server then; once discovery answers they go to the other one.
+#[test]
+fn sends_nothing_to_a_server_that_drains_while_watches_are_silent_and_discovery_is_overloaded() {
+    let (draining, other) = (RecordingServer::start(), RecordingServer::start());
+    let entry = |server: &RecordingServer, name, lifecycle| endpoint(name, server.address, lifecycle);
+    let known = [entry(&draining, "s-00000001", "ready"), entry(&other, "s-00000002", "ready")];
+    let discovery =
+        DiscoveryService::start(&[("s-00000001", known[0].clone()), ("s-00000002", known[1].clone())]);
+    let daemons: Vec<Daemon> = (0..DAEMONS).map(|_| start_daemon(&discovery, "on_request", &known)).collect();
+    wait_until("all watches are open", || discovery.held_calls() == DAEMONS);
+
+    discovery.silence_held_calls(Service::Overloaded);
+    let silent_since = Instant::now();
+    discovery.publish("s-00000001", entry(&draining, "s-00000001", "draining"));
+    let recovery = silent_since + NOTIFIED_AFTER + Duration::from_secs(2);
+    std::thread::scope(|scope| {
+        let addresses = daemons.iter().map(|daemon| &daemon.platform);
+        let clients: Vec<_> =
+            addresses.map(|address| scope.spawn(move || request_until(address, recovery))).collect();
+        for client in clients {
+            let served = client.join().expect("answered");
+            assert!(served[0], "the list still holds when the watch falls silent");
+        }
+    });
+    let allowed_until = silent_since + NOTIFIED_AFTER + DRAIN_GRACE + SOCKET_SLACK;
+    let late = draining.last_arrival().map(|at| at.saturating_duration_since(allowed_until));
+    assert_eq!(
+        late,
+        Some(Duration::ZERO),
+        "a request arrived at the draining server so long after the grace"
+    );
+
+    discovery.set_service(Service::Answers);
+    for daemon in &daemons {
+        wait_until("clients are served again", || connect_and_open(&daemon.platform).read_line() == "UP 1");
+    }
+    assert!(other.last_arrival() > Some(recovery));
+}
+
+/// The connection to the server comes up only after what the silent watch missed counts.
+#[test]
+fn does_not_forward_when_the_connect_completes_after_a_silent_watch_may_have_missed_a_drain() {
+    let mut draining = ManualServer::start_with_full_queue();
+    let known = [endpoint("s-00000001", draining.address, "ready")];
+    let discovery = DiscoveryService::start(&[("s-00000001", known[0].clone())]);
+    let daemon = start_daemon(&discovery, "on_request", &known);
+    wait_until("the watch is open", || discovery.held_calls() == 1);
+
+    discovery.silence_held_calls(Service::Overloaded);
+    let silent_since = Instant::now();
+    discovery.publish("s-00000001", endpoint("s-00000001", draining.address, "draining"));
+    let mut client = connect_and_open(&daemon.platform);
+    let allowed_until = silent_since + NOTIFIED_AFTER + DRAIN_GRACE + SOCKET_SLACK;
+    std::thread::sleep(allowed_until.saturating_duration_since(Instant::now()));
+    draining.empty_queue();
+
+    assert!(client.read_line().starts_with("BUSY"), "no server is known to be ready");
+    assert_eq!(daemon.metric("forwards"), 0);
+}
