Treat the endpoint list as a lease: it expires 6 s after a watch falls silent

Cause: a process whose watch fell silent used its list for as long as discovery, which was there, answered 503; the wait between its calls grew without regard to the 6 s after which a missed change counts as notified. Class of bug: state that is used beyond the time for which it is known to hold. Change: src/policy/endpoint_watch.rs keeps a lease on the list, renewed by each answer. Once a watch is silent and discovery is not known to be down, no attempt is begun or written after the lease: requests are rejected with a Retry-After, waiting connects are given up. A watch counts as silent 0.5 s after its hold, up to 2 s in a large fleet (2 s always before), and is opened anew by a call that is not held; waits between failed calls end at 1 to 2.5 s (10 s before), since an outage longer than that let the same happen. Where lists are pushed a silent agent means that discovery is down, and the list stays in use. One check is replaced: a watch that is opened anew was to be held 3 s, now it is not to be held, since an answer is wanted before the lease ends.

--- a/src/bin/simulator-adapter/instance.rs
+++ b/src/bin/simulator-adapter/instance.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use connection_balancer::{
-    Action, Balancer, ClassId, EndpointEntry, Event, RequestId, TenantId, Time, ZoneId,
+    Action, Balancer, ClassId, EndpointEntry, Event, RequestId, TenantId, Time, WatchFailure, ZoneId,
 };
 use rustc_hash::FxHashMap;
 
@@ -82,7 +82,10 @@
         actions: &mut Vec<Action>,
     ) {
         match sync {
-            EndpointSync::Failed => self.balancer.handle(now, Event::EndpointWatchFailed, actions),
+            EndpointSync::Failed => {
+                let failed = Event::EndpointWatchFailed(WatchFailure::Rejected);
+                self.balancer.handle(now, failed, actions);
+            }
             EndpointSync::Whole { set } => {
                 let endpoints = self.resolve_zones(&sets[set]);
                 self.balancer.handle(now, Event::EndpointsReplaced(&endpoints), actions);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,8 @@
 //!   client's deadline has passed; before it one [`Event::ConnectionEstablished`] if the connection was established.
 //! * [`Event::TimerFired`] comes when a time set by [`Action::SetTimer`] is over. Several timers may run at once; those
 //!   that are needed no more do nothing.
-//! * After [`Action::WatchEndpoints`] comes a whole list, a change of it, or [`Event::EndpointWatchFailed`].
+//! * After [`Action::WatchEndpoints`] comes a whole list, a change of it, or [`Event::EndpointWatchFailed`]. A host that
+//!   hands in [`Event::EndpointListConfirmed`] does so with each answer: without one the list expires.
 //!
 //! Where this is broken nothing panics: events of unknown or finished requests are ignored. A missing
 //! [`Event::AttemptEnded`] leaves slots taken; a missing [`Event::TimerFired`] leaves a request without its answer.
--- a/src/policy/endpoint_list.rs
+++ b/src/policy/endpoint_list.rs
@@ -1,18 +1,10 @@
-//! Following the endpoint list: new, changed and removed servers, and the watch that delivers them.
+//! Following the endpoint list: new, changed and removed servers.
 
 use super::*;
 
 /// Slots of a new server of mean weight, and the most that a heavier one gets.
 const INITIAL_SLOTS: f64 = 4.0;
 const MAX_INITIAL_SLOTS: f64 = 16.0;
-/// After so many failures in a row the wait for the endpoint list grows no more.
-const MAX_BACKOFF_FAILURES: u32 = 6;
-
-/// When to ask for the endpoint list again.
-pub(super) struct EndpointWatch {
-    pub(super) due: Option<Time>,
-    pub(super) consecutive_failures: u32,
-}
 
 impl Balancer {
     pub(super) fn replace_endpoints(&mut self, entries: &[EndpointEntry]) {
@@ -21,7 +13,7 @@
     }
 
     pub(super) fn apply_endpoint_update(&mut self, entries: &[EndpointEntry]) {
-        self.endpoint_watch.consecutive_failures = 0;
+        self.endpoint_watch.on_list_applied();
         entries.iter().for_each(|entry| self.apply_endpoint(entry));
         // A server that is gone is forgotten once nothing is held there.
         self.servers.retain(|_, s| s.entry.state != EndpointState::Gone || !s.held.is_empty());
@@ -54,16 +46,4 @@
             None => drop(self.servers.insert(entry.server, new)),
         }
     }
-
-    /// Asks again after a growing, jittered wait, the longer the more balancers may have failed as well:
-    /// calls are served in turn, and calls that come again before that delay each other without end.
-    pub(super) fn schedule_endpoint_watch(&mut self) {
-        if self.settings.poll_required {
-            let Backoff { initial, max } = self.settings.endpoint_watch_backoff();
-            let failures = self.endpoint_watch.consecutive_failures.min(MAX_BACKOFF_FAILURES);
-            let wait = jittered_backoff(&mut self.rng, initial, failures, max);
-            self.endpoint_watch.consecutive_failures += 1;
-            self.endpoint_watch.due = Some(self.now.plus(wait));
-        }
-    }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod ceilings;
 mod endpoint_list;
+mod endpoint_watch;
 mod migration;
 mod outlier_detection;
 mod probes;
@@ -25,7 +26,7 @@
 use rand_pcg::Pcg64Mcg;
 use rustc_hash::FxHashMap;
 
-use self::{admission::AdmissionRate, endpoint_list::EndpointWatch, selection::Totals};
+use self::{admission::AdmissionRate, endpoint_watch::EndpointWatch, selection::Totals};
 use crate::bookkeeping::{draw_weighted, exponential_for, jittered, jittered_backoff, server_of};
 use crate::bookkeeping::{AnswerDeadline, Attempt, ConnectionSizes, GroupStatistics, Request, Server};
 use crate::types::*;
@@ -78,10 +79,7 @@
             requests: FxHashMap::default(),
             deadlines: BTreeSet::new(),
             armed_timer: None,
-            endpoint_watch: EndpointWatch {
-                due: settings.poll_required.then_some(now),
-                consecutive_failures: 0,
-            },
+            endpoint_watch: EndpointWatch::opening_at(settings.poll_required.then_some(now)),
             probe_credit: 0.0,
             fault_window: settings.max_retry_after,
             connections_at_capacity: 0.0,
@@ -113,7 +111,9 @@
         match event {
             Event::EndpointsReplaced(entries) => self.replace_endpoints(entries),
             Event::EndpointsChanged(entries) => self.apply_endpoint_update(entries),
-            Event::EndpointWatchFailed => self.schedule_endpoint_watch(),
+            Event::EndpointListConfirmed => self.on_endpoint_list_confirmed(),
+            Event::EndpointWatchSilent { since } => self.on_endpoint_watch_silent(since),
+            Event::EndpointWatchFailed(failure) => self.on_endpoint_watch_failed(failure),
             Event::RequestArrived { request, class, group, load, deadline, .. } => {
                 let slots = self.connection_sizes.estimate(class, load);
                 let due = Time(deadline.0 - deadline.since(self.now) / ANSWER_TIME_DIVISOR);
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -15,7 +15,7 @@
 impl Balancer {
     /// Established connections pay for probes, a fixed small share of all worth; rejected ones do not.
     pub(super) fn spend_probe_credit(&mut self) {
-        if !(self.settings.probes && self.settings.probe_reports) {
+        if !(self.settings.probes && self.settings.probe_reports) || self.is_endpoint_list_expired() {
             return;
         }
         let cost = self.settings.probe_cost.max(PROBE_COST_SHARE / MAX_PROBES_PER_CONNECTION);
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -44,6 +44,9 @@
         if request.attempts >= self.settings.max_attempts {
             return self.send_final_answer(id, RefusalReason::AttemptsSpent);
         }
+        if self.is_endpoint_list_expired() {
+            return self.send_final_answer(id, RefusalReason::EndpointListExpired);
+        }
         match self.select_server(id) {
             Some(server) => self.start_attempt(id, server),
             None => self.send_final_answer(id, RefusalReason::NoServer),
@@ -53,9 +56,12 @@
     /// The one place that starts attempts.
     fn start_attempt(&mut self, id: RequestId, to: ServerId) {
         let (interval, now) = (self.slow_start_interval(), self.now);
+        let list_time_left = self.endpoint_list_time_left();
         let Some(server) = self.servers.get_mut(&to) else { return };
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let within = request.window_left(self.settings.idempotency(request.class), now);
+        let window_left = request.window_left(self.settings.idempotency(request.class), now);
+        // A connection may come up late: by then the server may drain, and nobody would have been told.
+        let within = window_left.into_iter().chain(list_time_left).min();
         server.schedule_next_send(&self.settings, now, interval, interval);
         server.held.take_slots(request.group, request.slots);
         server.held.connecting += 1;
--- a/src/routing/connection_table.rs
+++ b/src/routing/connection_table.rs
@@ -35,7 +35,8 @@
     pub(super) since: Time,
     /// By when the server has to accept.
     pub(super) accept_by: Time,
-    /// By when the request has to be written, where a server knows a repeated request for a limited time only.
+    /// By when the request has to be written, where a server knows a repeated request for a limited time only,
+    /// or where the endpoint list expires.
     pub(super) forward_by: Option<Time>,
 }
 
@@ -247,6 +248,18 @@
         true
     }
 
+    /// Has an attempt whose request is not written yet given up at this time, if not sooner.
+    pub(super) fn limit_forwarding(&mut self, id: ConnectionId, by: Time) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let is_pending = connection.phase == Phase::Connecting;
+        let Some(attempt) = connection.attempt.as_mut().filter(|a| is_pending && !a.forwarded) else {
+            return;
+        };
+        attempt.forward_by = Some(attempt.forward_by.map_or(by, |earlier| earlier.min(by)));
+        let due = connection.timer.map_or(by, |earlier| earlier.min(by));
+        self.set_timer(id, Some(due));
+    }
+
     /// All connections with an attempt at a pool's servers, by server and then by connection.
     pub(super) fn placed(&self, pool: PoolId) -> impl Iterator<Item = PlacedConnection> + '_ {
         let first = PoolServer { pool, server: ServerId(0) };
--- a/src/routing/dispatch.rs
+++ b/src/routing/dispatch.rs
@@ -51,6 +51,18 @@
         self.pools[pool].count_refusal(reason);
         self.answer(now, id, answer);
         self.effects.push(Effect::Log(LogEvent::RequestRefused { connection: id, reason }));
+        if reason == RefusalReason::EndpointListExpired {
+            self.report_expired_endpoint_list(pool);
+        }
+    }
+
+    /// Says once in the log that a pool's endpoint list is too old to be used.
+    fn report_expired_endpoint_list(&mut self, pool: PoolId) {
+        let pool = &mut self.pools[pool];
+        if !std::mem::replace(&mut pool.reported_expiry, true) {
+            let pool = pool.config.name;
+            self.effects.push(Effect::Log(LogEvent::EndpointListExpired { pool }));
+        }
     }
 
     fn cancel_attempt(&mut self, now: Time, pool: PoolId, request: RequestId, attempt: u32) -> Vec<Action> {
--- a/src/routing/input.rs
+++ b/src/routing/input.rs
@@ -9,6 +9,7 @@
 };
 use crate::peers::GossipMessage;
 use crate::ServerId;
+use crate::{Micros, WatchFailure};
 
 /// One thing that happened.
 #[derive(Clone, Debug)]
@@ -126,6 +127,15 @@
     EndpointWatchLost {
         /// The pool.
         pool: PoolId,
+        /// What that shows of discovery.
+        failure: WatchFailure,
+    },
+    /// A call that watches a pool's endpoint list was not answered when it was due; it is made anew.
+    EndpointWatchSilent {
+        /// The pool.
+        pool: PoolId,
+        /// How long ago the call was made.
+        called_ago: Micros,
     },
     /// Another replica, or an operator's command, sent this.
     ReplicaMessage {
--- a/src/routing/log_event.rs
+++ b/src/routing/log_event.rs
@@ -69,6 +69,16 @@
         /// Why.
         reason: RefusalReason,
     },
+    /// A pool's endpoint list is too old to be used: requests are refused from now on.
+    EndpointListExpired {
+        /// Name of the pool's front.
+        pool: &'static str,
+    },
+    /// Discovery has answered, and requests are placed again.
+    EndpointListRestored {
+        /// Name of the pool's front.
+        pool: &'static str,
+    },
     /// No connection of a pool is migrated for balance from now on.
     RebalancingHeld {
         /// Name of the pool's front.
@@ -129,6 +139,15 @@
             LogEvent::RequestRefused { connection, reason } => {
                 write!(formatter, "connection {} refused: {}", connection.0, reason.name())
             }
+            LogEvent::EndpointListExpired { pool } => {
+                write!(
+                    formatter,
+                    "{pool}: endpoint list expired, requests are refused until discovery answers"
+                )
+            }
+            LogEvent::EndpointListRestored { pool } => {
+                write!(formatter, "{pool}: endpoint list confirmed, requests are placed again")
+            }
             LogEvent::RebalancingHeld { pool, reason } => {
                 write!(formatter, "{pool}: rebalancing held: {reason}")
             }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -51,6 +51,7 @@
 pub use admin_call::{AdminCall, AdminRejection, AdminResponse};
 pub use connection_request::ConnectionRequest;
 pub use effect::Effect;
+pub use endpoint_updates::EndpointWatchTiming;
 pub use endpoints::{server_id, stored_endpoint, Endpoint, Lifecycle};
 pub use handover_state::{EstablishedConnection, HandoverState, PoolHandoverState};
 pub use ids::{AdminClientId, ConnectionId, PoolId};
@@ -139,7 +140,10 @@
             Input::EndpointsUpdated { pool, whole, endpoints } => {
                 self.on_endpoints_updated(now, pool, whole, endpoints);
             }
-            Input::EndpointWatchLost { pool } => self.on_endpoint_watch_lost(now, pool),
+            Input::EndpointWatchLost { pool, failure } => self.on_endpoint_watch_lost(now, pool, failure),
+            Input::EndpointWatchSilent { pool, called_ago } => {
+                self.on_endpoint_watch_silent(now, pool, called_ago);
+            }
             Input::GossipReceived { pool, message } => self.on_gossip_received(now, pool, message),
             Input::ProbeCompleted { pool, server, end } => self.on_probe_completed(now, pool, server, end),
             Input::ReplicaMessage { from, gossip } => self.on_replica_message(now, from, gossip),
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -25,6 +25,8 @@
     pub(super) endpoints: EndpointList,
     /// The endpoint list as discovery or the operator's file has it.
     pub(super) listed: ListedEndpoints,
+    /// Whether the log says that the endpoint list has expired.
+    pub(super) reported_expiry: bool,
     pub(super) exclusions: PoolExclusions,
     pub(super) admitted: AdmittedConnections,
     pub(super) load_reports: LoadReports,
@@ -85,6 +87,7 @@
             probes: Probes::default(),
             endpoints: EndpointList::default(),
             listed: ListedEndpoints::default(),
+            reported_expiry: false,
             exclusions: PoolExclusions::default(),
             admitted: AdmittedConnections::default(),
             load_reports: LoadReports::default(),
--- a/src/transport/discovery_watch.rs
+++ b/src/transport/discovery_watch.rs
@@ -20,18 +20,18 @@
 use crate::protocol::http::HttpError;
 use crate::protocol::http::{self, EndpointListUpdate};
 use crate::protocol::json::DecodeError;
-use crate::routing::{Endpoint, Input, Lifecycle, PoolId};
+use crate::routing::{Endpoint, EndpointWatchTiming, Input, Lifecycle, PoolId};
+use crate::{Micros, WatchFailure};
 
 /// How long discovery holds a call while nothing changes. Its changes count as known 6 s later at the latest,
 /// and a watch that has fallen silent looks like one on which nothing happens; so a call is soon over.
 const HOLD_TIMEOUT: Duration = Duration::from_secs(3);
-/// Beyond that, a call without an answer has failed after this long, whether it was to be held or not. A call
-/// that is still in turn at a crowded discovery is the nearest to being answered, and one given up is served
-/// all the same, for nobody; where all give up a little too early nothing that discovery does reaches anyone.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(2000);
-/// A call without an answer is made once more after a random part of this. What it misses counts as known 6 s
-/// after it fell silent, and all balancers of a tier may find that out in one instant.
-const MAX_RETRY_BACKOFF: Duration = Duration::from_millis(800);
+/// A call for the whole list has failed without an answer after this long. A call that is still in turn at a
+/// crowded discovery is the nearest to being answered, and one given up is served all the same, for nobody;
+/// where all give up a little too early nothing that discovery does reaches anyone.
+const WHOLE_LIST_TIMEOUT: Duration = Duration::from_secs(5);
+/// The same for a call that opens a silent watch anew: what that missed counts as known before long.
+const REOPENING_TIMEOUT: Duration = Duration::from_secs(2);
 /// Wait after an answer that came at once with nothing new: a discovery that does not hold calls would be
 /// called without end. The next call has to come within 200 ms, or it is no more the same watch.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(100);
@@ -45,7 +45,13 @@
     /// There was no answer in time.
     #[error("no answer in time")]
     TimedOut,
-    /// The connection cannot be established, or broke.
+    /// The connection was not established in time.
+    #[error("no connection in time")]
+    NotConnected,
+    /// The connection cannot be established.
+    #[error("discovery: {0}")]
+    Connect(#[source] io::Error),
+    /// The connection broke.
     #[error("discovery: {0}")]
     Socket(#[from] io::Error),
     /// Discovery closed the connection before its answer was complete.
@@ -68,6 +74,21 @@
     UnexpectedChanges,
 }
 
+impl DiscoveryError {
+    /// What the error shows of discovery. Only what nothing but its absence explains counts as that: other
+    /// errors of a connect may be this machine's own, and pass in a moment.
+    fn watch_failure(&self) -> WatchFailure {
+        match self {
+            DiscoveryError::NotConnected => WatchFailure::Unreachable,
+            DiscoveryError::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                WatchFailure::Unreachable
+            }
+            DiscoveryError::TimedOut => WatchFailure::Unanswered,
+            _ => WatchFailure::Rejected,
+        }
+    }
+}
+
 /// The task of a pool's watch.
 struct Watch {
     /// Where the watch is requested after it was lost.
@@ -137,22 +158,21 @@
             let error = self.follow_until_error().await;
             log_event!(LogEvent::EndpointListFailed { error: &error, age: self.answered_at.elapsed() });
             self.connection.open = None;
-            self.driver.feed(Input::EndpointWatchLost { pool: self.pool });
+            self.driver.feed(Input::EndpointWatchLost { pool: self.pool, failure: error.watch_failure() });
         }
     }
 
     async fn follow_until_error(&mut self) -> DiscoveryError {
-        let mut retried = false;
+        let mut reopened = false;
         loop {
             let called_at = Instant::now();
             let since = self.generation.map(|generation| Since { generation, hold: self.hold });
-            match timeout(HOLD_TIMEOUT + ANSWER_TIMEOUT, self.connection.call(since)).await {
-                Err(_) if !retried => {
-                    log_event!(LogEvent::EndpointListRetried);
-                    self.connection.open = None;
-                    retried = true;
-                    tokio::time::sleep(MAX_RETRY_BACKOFF.mul_f64(random_fraction())).await;
+            match timeout(self.call_timeout(), self.connection.call(since)).await {
+                Err(_) if !reopened => {
+                    reopened = true;
+                    self.on_silent(called_at).await;
                 }
+                Err(_) if self.connection.open.is_none() => return DiscoveryError::NotConnected,
                 Err(_) => return DiscoveryError::TimedOut,
                 Ok(Err(error)) => return error,
                 Ok(Ok(update)) if self.is_outdated(&update) => {
@@ -161,13 +181,38 @@
                     self.hold = Duration::ZERO;
                 }
                 Ok(Ok(update)) => {
-                    retried = false;
+                    reopened = false;
                     self.apply_update(update, called_at).await;
                 }
             }
         }
     }
 
+    /// How long the next call may take.
+    fn call_timeout(&self) -> Duration {
+        match (self.generation, self.hold) {
+            (None, _) => WHOLE_LIST_TIMEOUT,
+            (Some(_), Duration::ZERO) => REOPENING_TIMEOUT,
+            (Some(_), hold) => hold + Duration::from_micros(self.timing().answer_timeout),
+        }
+    }
+
+    fn timing(&self) -> EndpointWatchTiming {
+        self.driver.endpoint_watch_timing(self.pool)
+    }
+
+    /// Gives a call without an answer up, and waits until it is to be made anew. That one is not held: while
+    /// nothing changes, a held call that is answered looks like one that has fallen silent as well.
+    async fn on_silent(&mut self, called_at: Instant) {
+        log_event!(LogEvent::EndpointListRetried { age: self.answered_at.elapsed() });
+        let called_ago = called_at.elapsed().as_micros() as Micros;
+        self.driver.feed(Input::EndpointWatchSilent { pool: self.pool, called_ago });
+        self.connection.open = None;
+        self.hold = Duration::ZERO;
+        let max_delay = Duration::from_micros(self.timing().max_reopening_delay);
+        tokio::time::sleep(max_delay.mul_f64(random_fraction())).await;
+    }
+
     /// Whether an update changes a list older than the one that is held: it comes from another incarnation of
     /// discovery.
     fn is_outdated(&self, update: &EndpointListUpdate) -> bool {
@@ -269,7 +314,7 @@
 
 impl OpenConnection {
     async fn connect(discovery: SocketAddr) -> Result<OpenConnection, DiscoveryError> {
-        let stream = TcpStream::connect(discovery).await?;
+        let stream = TcpStream::connect(discovery).await.map_err(DiscoveryError::Connect)?;
         let _ = stream.set_nodelay(true);
         Ok(OpenConnection { stream, received: Vec::new() })
     }
--- a/src/transport/driver/mod.rs
+++ b/src/transport/driver/mod.rs
@@ -25,7 +25,8 @@
 use super::record::Recorder;
 use crate::protocol::Front;
 use crate::routing::{
-    reduce, AdminClientId, AdminResponse, ConnectionId, Effect, HandoverState, Input, PoolId, State,
+    reduce, AdminClientId, AdminResponse, ConnectionId, Effect, EndpointWatchTiming, HandoverState, Input,
+    PoolId, State,
 };
 use crate::{Micros, Time};
 pub(super) use hot_restart::{NamedSocket, REPLICATION_SOCKET};
@@ -135,6 +136,11 @@
         self.clock.now()
     }
 
+    /// How a pool's watch on its endpoint list is to be timed.
+    pub(super) fn endpoint_watch_timing(&self, pool: PoolId) -> EndpointWatchTiming {
+        self.state.borrow().endpoint_watch_timing(pool)
+    }
+
     /// Hands an input to the reducer and carries out its effects, in their order.
     pub(super) fn feed(&self, input: Input) {
         if let Some(observer) = self.observer.borrow_mut().as_mut() {
--- a/src/transport/log_event.rs
+++ b/src/transport/log_event.rs
@@ -44,7 +44,7 @@
     /// Discovery sent a list, or changes of it.
     EndpointListUpdated { generation: u64, entries: usize, draining: usize, age: Duration },
     /// Discovery did not answer; the same call is made once more.
-    EndpointListRetried,
+    EndpointListRetried { age: Duration },
     /// Discovery sent changes of an older endpoint list.
     EndpointListOutdated { generation: u64 },
     /// A call to discovery failed.
@@ -102,7 +102,7 @@
             | LogEvent::GossipUnavailable { .. }
             | LogEvent::ReplicaMessageUnreadable { .. }
             | LogEvent::GossipUnreadable { .. }
-            | LogEvent::EndpointListRetried
+            | LogEvent::EndpointListRetried { .. }
             | LogEvent::EndpointListOutdated { .. }
             | LogEvent::EndpointListFailed { .. }
             | LogEvent::RecordingFull { .. }
@@ -167,8 +167,12 @@
                     age.as_millis()
                 )
             }
-            LogEvent::EndpointListRetried => {
-                write!(formatter, "endpoint list: no answer in time, asked again")
+            LogEvent::EndpointListRetried { age } => {
+                write!(
+                    formatter,
+                    "endpoint list: no answer in time, asked again, {} ms after the last answer",
+                    age.as_millis()
+                )
             }
             LogEvent::EndpointListOutdated { generation } => {
                 write!(
--- a/src/types/action.rs
+++ b/src/types/action.rs
@@ -9,6 +9,8 @@
     AdmissionRate,
     /// No server is ready for it.
     NoServer,
+    /// The endpoint list is so old that servers in it may drain, and discovery does not say which.
+    EndpointListExpired,
     /// All attempts that it may have were made.
     AttemptsSpent,
     /// Its time is over.
@@ -19,9 +21,10 @@
 
 impl RefusalReason {
     /// Every reason, in the order in which metrics list them.
-    pub const ALL: [RefusalReason; 5] = [
+    pub const ALL: [RefusalReason; 6] = [
         RefusalReason::AdmissionRate,
         RefusalReason::NoServer,
+        RefusalReason::EndpointListExpired,
         RefusalReason::AttemptsSpent,
         RefusalReason::OutOfTime,
         RefusalReason::SharedFault,
@@ -32,6 +35,7 @@
         match self {
             RefusalReason::AdmissionRate => "admission_rate",
             RefusalReason::NoServer => "no_server",
+            RefusalReason::EndpointListExpired => "endpoint_list_expired",
             RefusalReason::AttemptsSpent => "attempts_spent",
             RefusalReason::OutOfTime => "out_of_time",
             RefusalReason::SharedFault => "shared_fault",
--- a/src/types/event.rs
+++ b/src/types/event.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// What a failed call for the endpoint list shows of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchFailure {
+    /// It is not there: connections are refused, or never come up.
+    Unreachable,
+    /// It took the call and gave no answer in time.
+    Unanswered,
+    /// It is there, or nothing shows that it is not: the answer was an error or cannot be read, or the
+    /// connection broke.
+    Rejected,
+}
+
 /// What happened, as reported by the host in the order in which it happened.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -40,8 +52,15 @@
     EndpointsReplaced(&'a [EndpointEntry]),
     /// Changed entries of the endpoint list.
     EndpointsChanged(&'a [EndpointEntry]),
+    /// Discovery has answered: the endpoint list is the present one.
+    EndpointListConfirmed,
+    /// A watch on the endpoint list has given no answer when one was due.
+    EndpointWatchSilent {
+        /// When the call was made that is not answered.
+        since: Time,
+    },
     /// The endpoint list could not be had, or a watch broke off. The old list remains.
-    EndpointWatchFailed,
+    EndpointWatchFailed(WatchFailure),
     /// A client asks for a connection: exactly one final answer is owed from now on.
     RequestArrived {
         /// The request.
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -14,7 +14,7 @@
 
 pub use action::{Action, RefusalReason};
 pub use endpoint::{EndpointEntry, EndpointState, LearnedState, Occupancy};
-pub use event::{Event, Outcome};
+pub use event::{Event, Outcome, WatchFailure};
 pub use ids::{CellId, ClassId, ConnectionId, GroupHash, GroupId, RequestId, ServerId, TenantId, ZoneId};
 pub use load::{LoadReport, Measurement};
 pub(crate) use settings::Backoff;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -47,7 +47,7 @@
         }
         for n in failed {
             fleet[n].now = now;
-            fleet[n].handle(Event::EndpointWatchFailed);
+            fleet[n].handle(Event::EndpointWatchFailed(WatchFailure::Rejected));
             let waits = fleet[n].actions.iter().filter_map(|action| match action {
                 Action::SetTimer(wait) => Some(now.plus(*wait)),
                 _ => None,
@@ -299,7 +299,7 @@
             let settings = Settings { balancers, poll_required: true, ..settings() };
             let mut harness = Harness::new(settings, list);
             for _ in 0..30 {
-                harness.handle(Event::EndpointWatchFailed);
+                harness.handle(Event::EndpointWatchFailed(WatchFailure::Rejected));
             }
             let mut placed = 0;
             for _ in 0..200 {
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -9,6 +9,7 @@
 
 use connection_balancer::protocol::admin;
 use connection_balancer::routing::*;
+use connection_balancer::WatchFailure;
 use fake_servers::{irc_config, wait_until, Behaviour, Client, Daemon, Server};
 use proptest::prelude::*;
 use reducer_harness::{connection_request, ReducerHarness};
@@ -99,7 +100,7 @@
                 Input::ClientDisconnected { connection }
             }
             _ if which == 0 => Input::ShutdownRequested,
-            _ => Input::EndpointWatchLost { pool: 0 },
+            _ => Input::EndpointWatchLost { pool: 0, failure: WatchFailure::Rejected },
         }
     }
 
@@ -240,6 +241,7 @@
         edge_node.results.wallet.declined:0|c\r\nedge_node.results.wallet.aborted:0|c\r\n";
     let rest = "edge_node.forwards:0|c\r\nedge_node.outstanding:0|g\r\nedge_node.discovered:5|g\r\n\
         edge_node.ejected:0|g\r\nedge_node.refusals.admission_rate:0|c\r\nedge_node.refusals.no_server:0|c\r\n\
+        edge_node.refusals.endpoint_list_expired:0|c\r\n\
         edge_node.refusals.attempts_spent:0|c\r\nedge_node.refusals.out_of_time:0|c\r\n\
         edge_node.refusals.shared_fault:0|c\r\nedge_node.discovery_failures:0|c\r\nEND\r\n";
     assert_eq!(text(&mut harness), format!("{classes}{rest}"));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -445,7 +445,8 @@
     let calls = calls.lock().unwrap().clone();
 
     assert!(calls[2].0 - calls[1].0 < Duration::from_secs(9), "it is late by more than a busy machine");
-    assert!(calls[2].1.contains("?from=1&hold_ms=3000 "), "{}", calls[2].1);
+    // A held one would look silent as well while nothing changes.
+    assert!(calls[2].1.contains("?from=1&hold_ms=0 "), "{}", calls[2].1);
 }
 
 /// A server's slow messages are gossiped to the tier, once; what comes from unknown addresses is ignored.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -297,7 +297,7 @@
                 let entry = EndpointEntry { state, started, weight, ..Host::endpoint(server) };
                 self.update_endpoint(entry, whole);
             }
-            Step::FailEndpointWatch => self.event(Event::EndpointWatchFailed),
+            Step::FailEndpointWatch => self.event(Event::EndpointWatchFailed(WatchFailure::Rejected)),
             Step::Stray { request, attempt } => self.hand_in_stray_events(RequestId(request), attempt),
             Step::Wait { ms } => self.wait(ms * MS),
         }
