Test that nobody is refused where a silent watch or an outage gives no reason

Cause: a lease that expires too readily would turn an outage of discovery into one of the tier. Change: two tests on real processes: a drain missed by a silent watch is learned before it counts, with no request refused, asked and pushed, and the same where nothing changed; with a silent agent, a discovery that refuses connections, and watches that end in 503 the list stays in use.

--- a/tests/fake_servers/discovery_service.rs
+++ b/tests/fake_servers/discovery_service.rs
@@ -15,6 +15,8 @@
     Silent,
     /// They are answered 503.
     Overloaded,
+    /// Connections are refused.
+    Down,
 }
 
 struct State {
@@ -24,6 +26,8 @@
     entries: BTreeMap<String, (u32, String)>,
     /// Connections on which a call is held.
     held: Vec<TcpStream>,
+    /// Calls that were answered with a list or changes of it.
+    answers: usize,
 }
 
 /// A discovery for several daemons.
@@ -38,11 +42,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let entries = entries.iter().map(|(name, entry)| ((*name).to_owned(), (1, entry.clone()))).collect();
-        let state = State { service: Service::Answers, generation: 1, entries, held: Vec::new() };
+        let state = State { service: Service::Answers, generation: 1, entries, held: Vec::new(), answers: 0 };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let for_calls = shared.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if for_calls.0.lock().unwrap().service == Service::Down {
+                    return;
+                }
                 let shared = for_calls.clone();
                 std::thread::spawn(move || serve_connection(&shared, &stream));
             }
@@ -62,6 +69,19 @@
         // Connections that stay open and are never written to again.
         state.held.drain(..).for_each(std::mem::forget);
         self.shared.1.notify_all();
+        drop(state);
+        if service == Service::Down {
+            // The listener is closed when it has accepted this connection.
+            drop(TcpStream::connect(self.address));
+        }
+    }
+
+    /// Resets all calls that are held, and has later ones served in this way.
+    pub(crate) fn reset_held_calls(&self, service: Service) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.service = service;
+        state.held.drain(..).for_each(super::reset_connection);
+        self.shared.1.notify_all();
     }
 
     /// Has calls from now on served in this way.
@@ -69,6 +89,17 @@
         self.shared.0.lock().unwrap().service = service;
     }
 
+    /// The number of calls that were answered with a list or changes of it.
+    pub(crate) fn answers(&self) -> usize {
+        self.shared.0.lock().unwrap().answers
+    }
+
+    /// Answers all calls that are held with a generation that changes nothing.
+    pub(crate) fn publish_unchanged(&self) {
+        self.shared.0.lock().unwrap().generation += 1;
+        self.shared.1.notify_all();
+    }
+
     /// Changes an entry.
     pub(crate) fn publish(&self, name: &str, entry: String) {
         let mut state = self.shared.0.lock().unwrap();
@@ -118,7 +149,7 @@
         Service::Overloaded => {
             return Some("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_owned());
         }
-        Service::Silent => {
+        Service::Silent | Service::Down => {
             state.held.push(stream.try_clone().expect("a clone"));
             return None;
         }
@@ -134,6 +165,7 @@
         return None;
     }
     state.held.retain(|held| held.peer_addr().is_ok_and(|at| at != peer));
+    state.answers += 1;
     let changed = state.entries.values().filter(|(at, _)| call.since.is_none_or(|since| *at > since));
     let entries: Vec<String> = changed.map(|(_, entry)| entry.clone()).collect();
     let list = super::endpoint_list(state.generation, call.since.is_none(), &entries);
--- a/tests/stale_list.rs
+++ b/tests/stale_list.rs
@@ -84,6 +84,16 @@
     client
 }
 
+/// Waits until discovery has answered as many daemons, and holds the next call of each.
+fn wait_for_watches(discovery: &DiscoveryService, daemons: usize) {
+    wait_until("the first calls are held", || discovery.held_calls() == daemons);
+    let before = discovery.answers();
+    discovery.publish_unchanged();
+    wait_until("the watches go on", || {
+        discovery.answers() == before + daemons && discovery.held_calls() == daemons
+    });
+}
+
 /// One client after another, until this time: whether each was served.
 fn request_until(address: &str, end: Instant) -> Vec<bool> {
     let mut served = Vec::new();
@@ -108,7 +118,7 @@
     let discovery =
         DiscoveryService::start(&[("s-00000001", known[0].clone()), ("s-00000002", known[1].clone())]);
     let daemons: Vec<Daemon> = (0..DAEMONS).map(|_| start_daemon(&discovery, "on_request", &known)).collect();
-    wait_until("all watches are open", || discovery.held_calls() == DAEMONS);
+    wait_for_watches(&discovery, DAEMONS);
 
     discovery.silence_held_calls(Service::Overloaded);
     let silent_since = Instant::now();
@@ -145,7 +155,7 @@
     let known = [endpoint("s-00000001", draining.address, "ready")];
     let discovery = DiscoveryService::start(&[("s-00000001", known[0].clone())]);
     let daemon = start_daemon(&discovery, "on_request", &known);
-    wait_until("the watch is open", || discovery.held_calls() == 1);
+    wait_for_watches(&discovery, 1);
 
     discovery.silence_held_calls(Service::Overloaded);
     let silent_since = Instant::now();
@@ -158,3 +168,66 @@
     assert!(client.read_line().starts_with("BUSY"), "no server is known to be ready");
     assert_eq!(daemon.metric("forwards"), 0);
 }
+
+/// A watch that is opened anew as soon as it is known to be silent brings the drain before it counts: nobody is refused.
+#[test]
+fn learns_of_a_drain_that_a_silent_watch_missed_before_it_counts() {
+    std::thread::scope(|scope| {
+        for (delivery, drains) in [("on_request", true), ("on_request", false), ("pushed", true)] {
+            scope.spawn(move || {
+                let (draining, other) = (RecordingServer::start(), RecordingServer::start());
+                let entry = |server: &RecordingServer, name, state| endpoint(name, server.address, state);
+                let known = [entry(&draining, "s-00000001", "ready"), entry(&other, "s-00000002", "ready")];
+                let entries = [("s-00000001", known[0].clone()), ("s-00000002", known[1].clone())];
+                let discovery = DiscoveryService::start(&entries);
+                let daemon = start_daemon(&discovery, delivery, &known);
+                wait_for_watches(&discovery, 1);
+
+                discovery.silence_held_calls(Service::Answers);
+                let counts_at = Instant::now() + NOTIFIED_AFTER;
+                if drains {
+                    discovery.publish("s-00000001", entry(&draining, "s-00000001", "draining"));
+                }
+                let served = request_until(&daemon.platform, counts_at + Duration::from_secs(1));
+
+                assert!(served.iter().all(|served| *served), "{delivery}, {drains}: no request is refused");
+                let late = draining.last_arrival().map(|at| at.saturating_duration_since(counts_at));
+                assert_eq!(
+                    late == Some(Duration::ZERO),
+                    drains,
+                    "{delivery}: a request came so late: {late:?}"
+                );
+            });
+        }
+    });
+}
+
+/// While discovery is down nothing changes that could count: the list stays in use, however old.
+#[test]
+fn keeps_serving_by_its_list_while_discovery_is_down() {
+    type Outage = fn(&DiscoveryService);
+    let cases: [(&str, &str, Outage); 3] = [
+        ("a silent agent", "pushed", |discovery| discovery.silence_held_calls(Service::Silent)),
+        ("a process that is gone", "on_request", |discovery| discovery.silence_held_calls(Service::Down)),
+        ("watches that end and 503", "on_request", |discovery| {
+            discovery.reset_held_calls(Service::Overloaded);
+        }),
+    ];
+    std::thread::scope(|scope| {
+        for (what, delivery, begin_outage) in cases {
+            scope.spawn(move || {
+                let server = RecordingServer::start();
+                let known = [endpoint("s-00000001", server.address, "ready")];
+                let discovery = DiscoveryService::start(&[("s-00000001", known[0].clone())]);
+                let daemon = start_daemon(&discovery, delivery, &known);
+                wait_for_watches(&discovery, 1);
+
+                begin_outage(&discovery);
+                let end = Instant::now() + NOTIFIED_AFTER + Duration::from_secs(2);
+                let served = request_until(&daemon.platform, end);
+
+                assert!(served.iter().all(|served| *served), "{what}: no request is refused");
+            });
+        }
+    });
+}
