--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -4,7 +4,7 @@
 
 use connection_balancer::peers::{GossipMessage, Observation};
 use connection_balancer::routing::*;
-use connection_balancer::{Class, Idempotency, LoadReport, RefusalReason, ServerId};
+use connection_balancer::{Class, Idempotency, LoadReport, RefusalReason, ServerId, WatchFailure};
 use reducer_harness::{connection_request, ReducerHarness, SERVERS, WAIT};
 
 /// The clients that are migrated while their server reports message times for 20 seconds.
@@ -591,6 +591,36 @@
 
 /// Established connections and attempts in flight go on, classes keep their numbers whatever their order in the file,
 /// and the watch moves to the new address.
+/// A silent watch, then no discovery at all: the list stays in use. Once discovery is there again and has only errors, what
+/// it listed before counts: a request that is not written yet goes nowhere.
+#[test]
+fn takes_back_unwritten_requests_when_an_unreachable_discovery_is_back_and_overloaded() {
+    let mut harness = ReducerHarness::new();
+    harness.advance(3_500_000);
+    harness.feed(Input::EndpointWatchSilent { pool: 0, called_ago: 3_500_000 });
+    harness.feed(Input::EndpointWatchLost { pool: 0, failure: WatchFailure::Unreachable });
+    harness.advance(4_000_000);
+    let (forwarded, _) = harness.forward_request();
+    let connection = harness.connect_client();
+    let effects = harness.feed(Input::ConnectionRequested { connection, request: connection_request() });
+    assert!(matches!(effects[..], [Effect::OpenAttempt { attempt: 0, .. }]), "{effects:?}");
+
+    harness.feed(Input::EndpointWatchLost { pool: 0, failure: WatchFailure::Rejected });
+    let effects = harness.feed(Input::TimerFired);
+
+    let expired = LogEvent::RequestRefused { connection, reason: RefusalReason::EndpointListExpired };
+    assert_eq!(effects[0], Effect::CloseAttempt { connection });
+    assert!(matches!(effects[1], Effect::Answer { answer: Answer::Rejected(1..), .. }), "{effects:?}");
+    assert_eq!(
+        effects[2..],
+        [Effect::Log(expired), Effect::Log(LogEvent::EndpointListExpired { pool: "platform" })]
+    );
+    assert!(
+        harness.feed(Input::AttemptAccepted { connection: forwarded, attempt: 0 }).is_empty(),
+        "it goes on"
+    );
+}
+
 #[test]
 fn reload_keeps_connections_and_moves_the_watch() {
     let mut harness = ReducerHarness::new();
