--- a/src/routing/endpoint_watch.rs
+++ b/src/routing/endpoint_watch.rs
@@ -11,6 +11,8 @@
 pub struct EndpointWatchTiming {
     /// How long after the end of its hold a call may go without an answer before it counts as silent.
     pub answer_timeout: Micros,
+    /// How long the call may take that opens a silent watch anew.
+    pub reopening_timeout: Micros,
     /// The longest delay before a call that has fallen silent is made anew; the delay is a random part of it.
     pub max_reopening_delay: Micros,
 }
@@ -52,6 +54,7 @@
         let settings = &self.pools[pool].config.settings;
         EndpointWatchTiming {
             answer_timeout: settings.watch_answer_timeout(),
+            reopening_timeout: settings.watch_reopening_timeout(),
             max_reopening_delay: settings.max_watch_reopening_delay(),
         }
     }
--- a/src/types/settings.rs
+++ b/src/types/settings.rs
@@ -64,6 +64,9 @@
 /// large fleet give up calls that still wait for their turn, nothing that discovery does reaches anyone.
 const MIN_WATCH_ANSWER_TIMEOUT: Micros = 500_000;
 const MAX_WATCH_ANSWER_TIMEOUT: Micros = 2_000_000;
+/// Bounds of the time that the call may take which opens a silent watch anew.
+const MIN_WATCH_REOPENING_TIMEOUT: Micros = 2_000_000;
+const MAX_WATCH_REOPENING_TIMEOUT: Micros = 5_000_000;
 /// A watch that has fallen silent is opened anew after a random part of this: all balancers of a tier may find
 /// out in one instant.
 const MAX_WATCH_REOPENING_DELAY: Micros = 800_000;
@@ -167,6 +170,11 @@
         self.discovery_service_time().clamp(MIN_WATCH_ANSWER_TIMEOUT, MAX_WATCH_ANSWER_TIMEOUT)
     }
 
+    /// How long the call may take that opens a silent watch anew.
+    pub(crate) fn watch_reopening_timeout(&self) -> Micros {
+        self.discovery_service_time().clamp(MIN_WATCH_REOPENING_TIMEOUT, MAX_WATCH_REOPENING_TIMEOUT)
+    }
+
     /// The longest delay before a watch that has fallen silent is opened anew. An agent on the balancer's own
     /// machine serves nobody else.
     pub(crate) fn max_watch_reopening_delay(&self) -> Micros {
