Ask nobody to come again while the endpoint list is expired

Cause: found on looking for paths of the same class: clients were migrated off slow servers, and for balance, while whoever comes again is rejected for want of a list. Change: the policy migrates nobody by an expired list; a silent watch holds rebalancing, as one that ends does. Servers that drain, are gone or silent, and SIGTERM still move their clients.

--- a/src/policy/migration.rs
+++ b/src/policy/migration.rs
@@ -20,6 +20,10 @@
     /// free the most slots for their worth, the group's included if it is the last of it here. Where messages
     /// take many times their objective staying is worth nothing, and a good part leaves at each such report.
     pub(super) fn migrate_some(&mut self, from: ServerId, lateness: f64) {
+        // Whoever is asked to come again would be rejected.
+        if self.is_endpoint_list_expired() {
+            return;
+        }
         let may_migrate = |last: Option<Time>| last.is_none_or(|at| self.now.since(at) >= MIGRATION_INTERVAL);
         let server = self.servers.get(&from).filter(|s| may_migrate(s.learned.last_migration));
         let Some(server) = server else { return };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -768,6 +768,36 @@
     }
 }
 
+/// A client that is asked to come again, and a probe, would meet the same list that no request goes by.
+#[test]
+fn migrates_and_probes_nothing_by_an_expired_list() {
+    let settings = Settings { probes: true, probe_reports: true, probe_cost: 0.01, ..settings() };
+    let answers = [true, false];
+    let [by_confirmed, by_expired] = answers.map(|answers| {
+        let mut harness = Harness::new(settings.clone(), &endpoints(4));
+        let held: Vec<_> = (0..14).map(|_| harness.restore(1, None)).collect();
+        let since = harness.now;
+        harness.advance(6 * SECOND - 100 * MS);
+        let requests: Vec<_> = (0..6).map(|_| harness.arrive()).collect();
+        harness.advance(100 * MS);
+        harness.handle(match answers {
+            true => Event::EndpointListConfirmed,
+            false => Event::EndpointWatchSilent { since },
+        });
+        let mut probes = 0;
+        for request in requests {
+            harness.establish(request, 0);
+            probes += count_probes(&harness);
+        }
+        harness.arrive();
+        let places = harness.attempted_server().is_some();
+        harness.measure(held[0], OVERLOADED);
+        (probes > 0, places, has_migration(&harness))
+    });
+    assert_eq!(by_confirmed, (true, true, true));
+    assert_eq!(by_expired, (false, false, false));
+}
+
 #[test]
 fn invalid_weights_count_as_unknown() {
     for weight in [0.0, -3.0, f64::NAN, f64::INFINITY, 1e308] {
