Put the timing of calls to discovery in a module of its own

Cause: settings.rs had grown by the timing of watches, and the bound on the wait between calls no longer held a poll interval under 1 s. The incident page tells the traced course, the confirmed cause and what is open; the page test reads it.

--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -11,12 +11,13 @@
 mod load;
 mod settings;
 mod time;
+mod watch_timing;
 
 pub use action::{Action, RefusalReason};
 pub use endpoint::{EndpointEntry, EndpointState, LearnedState, Occupancy};
 pub use event::{Event, Outcome, WatchFailure};
 pub use ids::{CellId, ClassId, ConnectionId, GroupHash, GroupId, RequestId, ServerId, TenantId, ZoneId};
 pub use load::{LoadReport, Measurement};
-pub(crate) use settings::Backoff;
 pub use settings::{Class, Idempotency, KeyScope, Settings, Tenant};
 pub use time::{Micros, Time};
+pub(crate) use watch_timing::Backoff;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -749,8 +749,9 @@
 #[test]
 fn polls_the_endpoint_list_in_time_however_long_discovery_was_down() {
     const LONGEST_WAIT: Micros = 4 * SECOND;
-    for (balancers, poll_interval) in [(1, 10), (4, 10), (40, 3), (300, 10), (900, 60)] {
-        let poll_interval = poll_interval * SECOND;
+    for (balancers, poll_interval) in [(1, 10_000), (4, 10_000), (40, 300), (300, 10_000), (900, 60_000)] {
+        let poll_interval = poll_interval * MS;
+        let longest_wait = LONGEST_WAIT.min(poll_interval * 3 / 2);
         let settings = Settings { balancers, poll_required: true, poll_interval, ..settings() };
         let mut harness = Harness::new(settings, &endpoints(1));
         for failures in 1..=40 {
@@ -760,7 +761,7 @@
                 _ => None,
             });
             let wait = wait.expect("it will be asked again");
-            assert!(wait <= LONGEST_WAIT, "{balancers} balancers, {failures} failures: {wait}");
+            assert!(wait <= longest_wait, "{balancers} balancers, {failures} failures: {wait}");
             harness.advance(wait);
             harness.handle(Event::TimerFired);
             assert!(harness.actions.contains(&Action::WatchEndpoints));
--- a/tests/documentation.rs
+++ b/tests/documentation.rs
@@ -7,13 +7,14 @@
 const FIXED_WORDS: [&str; 3] = ["IRC", "SIGHUP", "SIGTERM"];
 
 /// The pages whose paths have to exist: all but those that tell of plans and of earlier versions.
-const PAGES: [&str; 10] = [
+const PAGES: [&str; 11] = [
     "README.md",
     "CONTRIBUTING.md",
     "docs/architecture.md",
     "docs/deployments.md",
     "docs/design.md",
     "docs/fleet.md",
+    "docs/incidents/2026-12-03-drain-after-silent-watch.md",
     "docs/oncall.md",
     "docs/operators.md",
     "docs/races.md",
