--- a/src/bin/simulator-adapter/message.rs
+++ b/src/bin/simulator-adapter/message.rs
@@ -11,6 +11,8 @@
 /// Endpoint sets are numbered from 0 to one less than this.
 pub(crate) const MAX_ENDPOINT_SETS: usize = 16;
 /// The message of a connection that was open before the start.
+/// The field with the number of an attempt, in messages and replies.
+pub(crate) const ATTEMPT_FIELD: &str = "leg";
 const INHERITED: &str = "INHERITED";
 /// The tenant of requests without one.
 const NO_TENANT: &str = "0";
@@ -189,10 +191,10 @@
 
 fn parse_progress(line: &Line<'_>) -> Result<RequestProgress, MalformedField> {
     Ok(match line.message {
-        "ACK_FIRST" => RequestProgress::Established { attempt: line.required("leg", parse_number)? },
+        "ACK_FIRST" => RequestProgress::Established { attempt: line.required(ATTEMPT_FIELD, parse_number)? },
         "INTERIM" => RequestProgress::Measured(parse_measurement(line)?),
         "RESULT" => RequestProgress::AttemptEnded {
-            attempt: line.required("leg", parse_number)?,
+            attempt: line.required(ATTEMPT_FIELD, parse_number)?,
             outcome: line.required("ending", parse_outcome)?,
             answered: line.optional("last", parse_flag)?.unwrap_or(false),
         },
--- a/src/bin/simulator-adapter/reply.rs
+++ b/src/bin/simulator-adapter/reply.rs
@@ -4,6 +4,7 @@
 
 use connection_balancer::{Action, RequestId};
 
+use crate::message::ATTEMPT_FIELD;
 use crate::values::Millis;
 
 /// The actions that follow in the reply are this instance's.
@@ -30,7 +31,7 @@
         }
         Action::Fail { request, .. } => writeln!(out, "FINISH_ERROR\txid={}", name(*request)),
         Action::CancelAttempt { request, attempt } => {
-            writeln!(out, "RETRACT\txid={}\tleg={attempt}", name(*request))
+            writeln!(out, "RETRACT\txid={}\t{ATTEMPT_FIELD}={attempt}", name(*request))
         }
         Action::Migrate { request } => writeln!(out, "MOVE\txid={}", name(*request)),
         Action::ProbeServer { server } => writeln!(out, "SOUND_OUT\tbackend={}", server.0),
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -60,7 +60,7 @@
         let Some(server) = self.servers.get_mut(&to) else { return };
         let Some(request) = self.requests.get_mut(&id) else { return };
         let window_left = request.window_left(self.settings.idempotency(request.class), now);
-        // A connection may come up late: by then the server may drain, and nobody would have been told.
+        // A connection may come up late: by then the server may drain, without a notification.
         let within = window_left.into_iter().chain(list_time_left).min();
         server.schedule_next_send(&self.settings, now, interval, interval);
         server.held.take_slots(request.group, request.slots);
--- a/tests/known_red.rs
+++ b/tests/known_red.rs
@@ -52,7 +52,7 @@
         let (passed, output) = run_ci_tests(lines, fails);
         assert_eq!(passed, passes, "{lines:?} where {fails} fails: {output}");
         if lines == line && passes {
-            let verdict = if fails == "red" { "failed, as told" } else { "passed this time" };
+            let verdict = if fails == "red" { "failed, as listed" } else { "passed this time" };
             assert!(output.contains(&format!("known red: {line}")), "{output}");
             assert!(output.contains(&format!("known red: example_of_a_red_test {verdict}")), "{output}");
         }
