Count an unanswered call once, and log an attempt's end where it is seen

Cause: read again: a call without an answer was counted as silent and as failed; each input, those of the relay among them, was looked at for an attempt's end to be logged; a late answer that brought nothing new held the next call up for 0.1 s, since it was timed by another call.

--- a/src/bin/simulator-adapter/message.rs
+++ b/src/bin/simulator-adapter/message.rs
@@ -10,9 +10,9 @@
 
 /// Endpoint sets are numbered from 0 to one less than this.
 pub(crate) const MAX_ENDPOINT_SETS: usize = 16;
-/// The message of a connection that was open before the start.
 /// The field with the number of an attempt, in messages and replies.
 pub(crate) const ATTEMPT_FIELD: &str = "leg";
+/// The message of a connection that was open before the start.
 const INHERITED: &str = "INHERITED";
 /// The tenant of requests without one.
 const NO_TENANT: &str = "0";
--- a/src/policy/endpoint_watch.rs
+++ b/src/policy/endpoint_watch.rs
@@ -8,7 +8,7 @@
 use super::*;
 
 /// What discovery changes counts as notified after this long, whether or not it arrived.
-pub(super) const NOTIFICATION_TIMEOUT: Micros = 6_000_000;
+const NOTIFICATION_TIMEOUT: Micros = 6_000_000;
 /// After so many failures in a row the wait for the endpoint list grows no more.
 const MAX_BACKOFF_FAILURES: u32 = 6;
 
--- a/src/routing/endpoint_watch.rs
+++ b/src/routing/endpoint_watch.rs
@@ -61,7 +61,10 @@
     }
 
     pub(super) fn on_endpoint_watch_lost(&mut self, now: Time, pool: PoolId, failure: WatchFailure) {
-        self.pools[pool].count_discovery_failure();
+        // A call without an answer was counted when it fell silent.
+        if failure != WatchFailure::Unanswered {
+            self.pools[pool].count_discovery_failure();
+        }
         self.notify_rebalancer(now, pool, RebalanceEvent::EndpointListLost);
         self.dispatch(now, pool, Event::EndpointWatchFailed(failure));
         self.limit_forwarding_by_list(pool);
--- a/src/transport/connection/server_side.rs
+++ b/src/transport/connection/server_side.rs
@@ -9,6 +9,7 @@
 use super::{Connection, READ_BUFFER_BYTES};
 use crate::protocol::pcap::{Close, Direction};
 use crate::routing::{AttemptOutcome, Input};
+use crate::transport::log_event::{log_event, LogEvent};
 
 impl Connection {
     pub(super) fn on_connected(&mut self, stream: io::Result<TcpStream>) {
@@ -122,7 +123,7 @@
         if broken {
             self.close_deadline = Some(Instant::now());
         }
-        self.driver.feed(Input::AttemptEnded { connection: self.id, attempt: self.attempt_number, end });
+        self.report_attempt_end(end);
     }
 
     /// An attempt ended before its connection was established.
@@ -131,6 +132,12 @@
         if end == AttemptOutcome::VerdictForwarded {
             self.close_in_order();
         }
-        self.driver.feed(Input::AttemptEnded { connection: self.id, attempt: self.attempt_number, end });
+        self.report_attempt_end(end);
+    }
+
+    fn report_attempt_end(&self, end: AttemptOutcome) {
+        let (connection, attempt) = (self.id, self.attempt_number);
+        log_event!(LogEvent::AttemptEnded { connection, attempt, end });
+        self.driver.feed(Input::AttemptEnded { connection, attempt, end });
     }
 }
--- a/src/transport/discovery_watch/connection.rs
+++ b/src/transport/discovery_watch/connection.rs
@@ -5,7 +5,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use super::error::DiscoveryError;
 use crate::protocol::http::{self, EndpointListUpdate};
@@ -37,6 +37,8 @@
 /// A call that has ended, and the connection for the next one.
 pub(super) struct FinishedCall {
     pub(super) connection: DiscoveryConnection,
+    /// When it was made.
+    pub(super) called_at: Instant,
     pub(super) result: Result<EndpointListUpdate, DiscoveryError>,
 }
 
@@ -48,12 +50,13 @@
 
     /// Makes a call that may take so long.
     pub(super) async fn call_within(mut self, since: Option<Since>, limit: Duration) -> FinishedCall {
+        let called_at = Instant::now();
         let result = match timeout(limit, self.call(since)).await {
             Ok(result) => result,
             Err(_) if self.open.is_none() => Err(DiscoveryError::NotConnected),
             Err(_) => Err(DiscoveryError::TimedOut),
         };
-        FinishedCall { connection: self, result }
+        FinishedCall { connection: self, called_at, result }
     }
 
     /// Asks for the changes since a generation, or else for the whole list. Not cancellation-safe: after a
--- a/src/transport/discovery_watch/follower.rs
+++ b/src/transport/discovery_watch/follower.rs
@@ -106,7 +106,7 @@
                 finished = late_answer(&mut self.late_call) => {
                     if let Some(finished) = self.accept_late_answer(finished) {
                         // It has a list, so there is no error.
-                        let _ = self.take_answer(finished, Instant::now()).await;
+                        let _ = self.take_answer(finished).await;
                         return true;
                     }
                 }
@@ -121,7 +121,7 @@
             delay = Duration::ZERO;
             match self.wait_for_answer(&mut call).await {
                 CallEnd::Finished(finished) => {
-                    if let Err(error) = self.take_answer(finished, call.called_at).await {
+                    if let Err(error) = self.take_answer(finished).await {
                         return error;
                     }
                 }
@@ -196,12 +196,8 @@
     }
 
     /// Applies what a call has brought.
-    async fn take_answer(
-        &mut self,
-        finished: FinishedCall,
-        called_at: Instant,
-    ) -> Result<(), DiscoveryError> {
-        let FinishedCall { connection, result } = finished;
+    async fn take_answer(&mut self, finished: FinishedCall) -> Result<(), DiscoveryError> {
+        let FinishedCall { connection, called_at, result } = finished;
         let update = match result {
             Ok(update) => update,
             Err(error) => {
--- a/src/transport/driver/mod.rs
+++ b/src/transport/driver/mod.rs
@@ -146,9 +146,6 @@
         if let Some(observer) = self.observer.borrow_mut().as_mut() {
             observer.observe_input(self.now(), &input);
         }
-        if let Input::AttemptEnded { connection, attempt, end } = input {
-            log_event!(LogEvent::AttemptEnded { connection, attempt, end });
-        }
         let (effects, deadline_changed) = {
             let mut state = self.state.borrow_mut();
             let deadline = state.next_due();
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -251,6 +251,17 @@
     assert!(metrics.contains("edge_node.outstanding:1|g\r\n"), "{metrics}");
 }
 
+/// A call without an answer is one that fell silent, and then one that failed.
+#[test]
+fn counts_each_failed_call_to_discovery_once() {
+    let mut harness = ReducerHarness::new();
+    let unanswered = WatchFailure::Unanswered;
+    harness.feed(Input::EndpointWatchLost { pool: 0, failure: WatchFailure::Rejected });
+    harness.feed(Input::EndpointWatchSilent { pool: 0, called_ago: 2_000_000 });
+    harness.feed(Input::EndpointWatchLost { pool: 0, failure: unanswered });
+    assert_eq!(metrics(&mut harness).discovery_failures, 2);
+}
+
 /// Operators' scripts read these lines.
 #[test]
 fn writes_the_agreed_reason_of_each_rejection() {
