--- a/review/flood2.py
+++ b/review/flood2.py
@@ -5,6 +5,7 @@
                                               the usual platform clients FIRST, FIRST + STEP and so on below END;
                                               they read all that is sent to them
     flood2.py bad-irc-client PORT MEGABYTES BYTES_A_SECOND
+    flood2.py irc-server PORT NAME SPOILT     an IRC server, whose first SPOILT answers never end
 """
 
 import json
@@ -152,6 +153,37 @@
         say(bad=f"ended: {error}", bytes=sent)
 
 
+def irc_server(port, name, spoilt):
+    """Welcomes each registration and answers PING. A spoilt answer is a PING that is repeated without an end, by a
+    server that does nothing else any more."""
+    answers = iter(range(1 << 30))
+
+    def serve(connection):
+        with connection:
+            try:
+                received, nick = b"", None
+                while b"USER " not in received or not received.endswith(b"\n"):
+                    piece = connection.recv(4096)
+                    if not piece:
+                        return
+                    received += piece
+                nick = received.split(b"NICK ")[1].split()[0].decode()
+                if next(answers) < spoilt:
+                    say(spoilt=nick)
+                    endless = f"PING :{name}\r\n".encode() * 4096
+                    while True:
+                        connection.sendall(endless)
+                connection.sendall(f":{name} 001 {nick} :Welcome\r\n".encode())
+                while data := connection.recv(4096):
+                    for line in data.split(b"\r\n"):
+                        if line.startswith(b"PING"):
+                            connection.sendall(f":{name} PONG {name} :x\r\n".encode())
+            except OSError:
+                pass
+
+    serve_each(port, serve)
+
+
 def main():
     mode, *values = sys.argv[1:]
     if mode == "server":
@@ -161,6 +193,8 @@
         clients(int(values[0]), range(first, end, step), float(values[4]), float(values[5]))
     elif mode == "bad-irc-client":
         bad_irc_client(int(values[0]), float(values[1]), float(values[2]))
+    elif mode == "irc-server":
+        irc_server(int(values[0]), values[1], int(values[2]))
 
 
 main()
