Review: remove the parts of the stand-ins that only dropped cases used

The proxy of datagrams, the platform's server and client in the event loop, and discovery's changes, silent calls and queue are no longer used by any case.

--- a/review/standins2.py
+++ b/review/standins2.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cases 6 to 10: servers, clients, discovery, a datagram proxy, and the daemon as a process.
+"""Stand-ins for the cases 6 to 10: IRC servers and clients, discovery, and the daemon as a process.
 
 Every socket is bound to a loopback address. Only the standard library is used.
 """
@@ -335,124 +335,11 @@
         return self
 
 
-# ---- Datagrams between two stores ----
-
-
-class DatagramProxy:
-    """Carries the datagrams of two stores. Store a sends to `port_a`, and store b to `port_b`; each receives
-    the other's datagrams from the address to which it sends its own. `cut` drops them."""
-
-    def __init__(self, case, store_a, store_b, port_a, port_b):
-        self.case, self.cut, self.dropped = case, False, 0
-        self.stores, self.ports = ((HOST, store_a), (HOST, store_b)), (port_a, port_b)
-
-    async def start(self):
-        loop = asyncio.get_running_loop()
-        proxy, ends = self, []
-
-        class End(asyncio.DatagramProtocol):
-            def __init__(self, index):
-                self.index = index
-
-            def datagram_received(self, data, source):
-                other = 1 - self.index
-                if proxy.cut:
-                    proxy.dropped += 1
-                else:
-                    ends[other].sendto(data, proxy.stores[other])
-
-        for index in (0, 1):
-            transport, _ = await loop.create_datagram_endpoint(
-                lambda index=index: End(index), local_addr=(HOST, self.ports[index])
-            )
-            ends.append(transport)
-        return self
-
-    def set_cut(self, cut):
-        self.cut = cut
-        self.case.record.write(f"datagrams between the stores are {'lost' if cut else 'delivered'}")
-
-
 # ---- The platform ----
 
 
-class PlatformServer:
-    """A server of the platform's protocol. While it drains, it turns new connections away."""
-
-    def __init__(self, case, name, port):
-        self.case, self.name, self.port = case, name, port
-        self.draining, self.delay, self.opened, self.count = False, 0.0, [], 0
-        self.writers = set()
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, HOST, self.port)
-        return self
-
-    async def serve(self, reader, writer):
-        first_byte = None
-        self.writers.add(writer)
-        try:
-            first = await reader.read(1)
-            first_byte = self.case.record.now()
-            line = (first + await reader.readline()).decode(errors="replace").split()
-            if not line or line[0] != "OPEN":
-                writer.write(b"SYNTAX\r\n")
-                return
-            self.opened.append((first_byte, line[1]))
-            if self.draining:
-                self.case.record.write(f"{self.name}: OPEN {line[1]} while draining, answers BUSY")
-                writer.write(b"BUSY\r\n")
-                return
-            await asyncio.sleep(self.delay)
-            self.count += 1
-            writer.write(f"UP {self.name}.{self.count}\r\n".encode())
-            while line := await reader.readline():
-                writer.write(line)
-        except OSError:
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
-
-
-class PlatformClient:
-    """A client of the platform: opens a connection, sends a line every two seconds, and leaves after `life`."""
-
-    def __init__(self, case, ident, group, life, class_name="stock-feed", tenant="game-a", wait_ms=3200):
-        self.case, self.ident, self.life = case, ident, life
-        self.line = f"OPEN {ident} {ident} c={class_name},t={tenant},d={wait_ms},g={group:x}"
-        self.answer = None
-        self.moved = False
-
-    async def run(self, port):
-        try:
-            reader, writer = await asyncio.open_connection(HOST, port)
-            writer.write(self.line.encode() + b"\r\n")
-            self.sent = self.case.record.now()
-            self.answer = (await reader.readline()).decode(errors="replace").rstrip()
-            if self.answer.startswith("UP"):
-                end = time.monotonic() + self.life
-                while time.monotonic() < end:
-                    writer.write(f"M {self.ident}\r\n".encode())
-                    line = await asyncio.wait_for(reader.readline(), 8)
-                    if not line or line.startswith(b"MOVE"):
-                        self.moved = bool(line)
-                        break
-                    await asyncio.sleep(2)
-            writer.close()
-        except (OSError, asyncio.TimeoutError) as error:
-            self.answer = self.answer or f"{type(error).__name__}"
-
-    def start(self, port):
-        self.task = asyncio.ensure_future(self.run(port))
-        return self
-
-
 class Discovery:
-    """Discovery: the whole list, and watches that are held until something changes.
-
-    `silent_calls` calls are read and never answered. With `service_time` calls are served one after another,
-    and a call that has waited longer than `longest_wait` ends in 503."""
+    """Discovery: the whole list, and watches that are held until something changes. Nothing changes here."""
 
     def __init__(self, case, name, port, servers):
         self.case, self.name, self.port = case, name, port
@@ -463,94 +350,37 @@
                 "machineType": "standard", "cell": 0, "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0,
             }
             self.changed_at[server.name] = 41
-        self.changed = asyncio.Condition()
-        self.silent_calls, self.service_time, self.longest_wait = 0, 0.0, None
-        self.queue = asyncio.Lock()
-        self.waiting = 0
-        self.answers = []  # times of answers with status 200
-        self.refused = 0
-        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port)
         return self
 
-    async def set_lifecycle(self, name, lifecycle):
-        async with self.changed:
-            self.generation += 1
-            self.entries[name]["lifecycle"] = lifecycle
-            self.changed_at[name] = self.generation
-            self.case.record.write(f"{self.name}: {name} is {lifecycle} from generation {self.generation}")
-            self.changed.notify_all()
-
-    def close(self):
-        """Accepts no new connection, and closes the open ones."""
-        self.case.record.write(f"{self.name}: closes")
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
     def body(self, since):
         changes = [e for n, e in self.entries.items() if since is None or self.changed_at[n] > since]
         return json.dumps({"generation": self.generation, "reset": since is None, "instances": changes})
 
-    async def take_turn(self):
-        """Serves calls one after another. Returns whether this call was served in time."""
-        if self.service_time == 0.0:
-            return True
-        arrived = time.monotonic()
-        async with self.queue:
-            if self.longest_wait is not None and time.monotonic() - arrived > self.longest_wait:
-                return False
-            await asyncio.sleep(self.service_time)
-            return True
-
     async def serve(self, reader, writer):
-        self.writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 target = head.split()[1].decode()
-                is_crowd = "crowd" in target
                 query = dict(p.split("=") for p in target.partition("?")[2].split("&") if "=" in p)
                 since = int(query["from"]) if "from" in query else None
-                if not is_crowd:
-                    self.case.record.write(f"{self.name}: call {target}")
-                if self.silent_calls > 0 and not is_crowd:
-                    self.silent_calls -= 1
-                    self.case.record.write(f"{self.name}: this call gets no answer")
-                    await reader.read()
-                    return
-                if not await self.take_turn():
-                    if not is_crowd:
-                        self.refused += 1
-                        self.case.record.write(f"{self.name}: waited too long, 503")
-                    writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                if since is not None and not is_crowd:
-                    hold = min(int(query.get("hold_ms", 0)), 60000) / 1000
-                    if since > self.generation:
-                        since = None
-                    else:
-                        async with self.changed:
-                            if self.generation <= since:
-                                try:
-                                    await asyncio.wait_for(self.changed.wait(), hold)
-                                except asyncio.TimeoutError:
-                                    pass
+                self.case.record.write(f"{self.name}: call {target}")
+                if since is not None and since > self.generation:
+                    since = None
+                elif since == self.generation:
+                    await asyncio.sleep(min(int(query.get("hold_ms", 0)), 60000) / 1000)
                 body = self.body(since).encode()
                 writer.write(
                     b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                     + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
                 )
                 await writer.drain()
-                if not is_crowd:
-                    self.answers.append(self.case.record.now())
-                    self.case.record.write(f"{self.name}: answered {body.decode()[:160]}")
+                self.case.record.write(f"{self.name}: answered {body.decode()[:160]}")
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
 
