Yield after each read, so that one flooding peer does not stop the daemon

Cause: Connection::run waits by TcpStream::readable and writable. Both return at once while the socket is ready, and are not limited by the runtime's budget of a task, so the task never returns to the runtime.

Change: the task yields after each read that returned something. It flushes before, so that no task runs between a connect's success and the write of the request.

--- a/src/transport/connection/mod.rs
+++ b/src/transport/connection/mod.rs
@@ -67,6 +67,8 @@
     client_quiet_since: Instant,
     /// Number of bytes that the client has sent while the connection was closing.
     discarded_bytes: usize,
+    /// Whether a socket was read since the task last yielded.
+    has_read: bool,
     /// Whether the client has its final answer, so that further output of the server is discarded.
     discard_server_output: bool,
     /// Number of bytes pending for one side at which reading from the other side pauses.
@@ -157,6 +159,7 @@
             close_deadline: None,
             client_quiet_since: Instant::now(),
             discarded_bytes: 0,
+            has_read: false,
             discard_server_output: false,
             buffer_limit: context.reducer.buffer_limit(),
             recorder: None,
@@ -183,12 +186,21 @@
 
     /// Runs until the sockets must be closed or transferred.
     ///
+    /// The task yields to the other tasks after each read. A wait for the readiness of a socket returns at
+    /// once while the socket is ready, and is not limited by the runtime's budget of a task. Without the
+    /// yield, a peer that sends without a pause would stop all other connections, timers and admin calls.
+    ///
     /// Every branch of the `select!` is cancellation-safe. A dropped branch consumes neither readiness nor
     /// commands, and a pending connect continues in `upstream`. Reads and writes happen after a branch is
     /// selected and do not wait.
     async fn run(&mut self, mut commands: UnboundedReceiver<ConnectionCommand>) {
         loop {
             self.flush();
+            if std::mem::take(&mut self.has_read) {
+                // The flush comes first, so that no other task runs between a connect's success and the
+                // write of the request.
+                tokio::task::yield_now().await;
+            }
             let close_time = self.close_time();
             if self.successor.is_some() || close_time.is_some_and(|time| self.is_close_due(time)) {
                 return;
@@ -205,9 +217,11 @@
                 stream = wait_connected(connecting) => self.on_connected(stream),
                 () = wait_writable(Some(&self.client)) => {}
                 () = wait_writable(attempt) => {}
-                () = wait_readable(attempt), if can_read_attempt => self.read_attempt(),
+                () = wait_readable(attempt), if can_read_attempt => {
+                    self.has_read = self.read_attempt();
+                }
                 () = wait_readable(Some(&self.client)), if can_read_client => {
-                    self.read_client(SocketEnd::read);
+                    self.has_read = self.read_client(SocketEnd::read);
                 }
                 () = wait_until(close_time) => {}
             }
--- a/src/transport/connection/server_side.rs
+++ b/src/transport/connection/server_side.rs
@@ -65,12 +65,13 @@
         }
     }
 
-    /// Reads once from the server.
-    pub(super) fn read_attempt(&mut self) {
+    /// Reads once from the server. Returns false if there was nothing to read, and true if bytes, the end of
+    /// the stream or an error were read.
+    pub(super) fn read_attempt(&mut self) -> bool {
         let mut buffer = [0; READ_BUFFER_BYTES];
-        let Some(attempt) = self.upstream.socket() else { return };
+        let Some(attempt) = self.upstream.socket() else { return false };
         match attempt.read(&mut buffer) {
-            Ok(None) => {}
+            Ok(None) => return false,
             Ok(Some(0)) => self.on_server_ended(attempt.is_write_broken()),
             Ok(Some(_)) if self.discard_server_output => {}
             Ok(Some(length)) => {
@@ -83,6 +84,7 @@
             }
             Err(_) => self.on_server_ended(true),
         }
+        true
     }
 
     /// Handles the end of the server's stream, or a failure of its socket if `broken` is true.
--- /dev/null
+++ b/tests/daemon/floods/mod.rs
@@ -0,0 +1,49 @@
+//! Servers and clients that send at full speed for as long as the connection is open. The daemon must serve
+//! all other connections in time.
+
+mod fairness;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use crate::fake_servers::{Client, Daemon};
+
+/// Time within which the daemon answers each admin call, whatever the load.
+const ADMIN_DEADLINE: Duration = Duration::from_secs(1);
+/// How long each test observes the daemon under a flood.
+const OBSERVATION_TIME: Duration = Duration::from_secs(3);
+/// Number of bytes of one write of a flood.
+const CHUNK_BYTES: usize = 64 << 10;
+/// Size of the buffer in which the bytes of a flood are read.
+const READ_BUFFER_BYTES: usize = 256 << 10;
+
+/// Repeats a line at full speed, in a thread that ends with the connection.
+fn flood(connection: &Client, line: &str) {
+    let chunk = line.repeat(CHUNK_BYTES / line.len());
+    let mut stream = clone_stream(connection);
+    std::thread::spawn(move || while stream.write_all(chunk.as_bytes()).is_ok() {});
+}
+
+/// Reads and discards everything at full speed, in a thread that ends with the connection.
+fn discard_input(connection: &Client) {
+    let mut stream = clone_stream(connection);
+    let mut buffer = vec![0; READ_BUFFER_BYTES];
+    std::thread::spawn(move || while stream.read(&mut buffer).is_ok_and(|length| length > 0) {});
+}
+
+fn clone_stream(connection: &Client) -> TcpStream {
+    connection.stream().try_clone().expect("the stream is cloned")
+}
+
+/// Checks for [`OBSERVATION_TIME`] that the daemon answers each admin call within [`ADMIN_DEADLINE`].
+fn assert_admin_calls_are_answered_in_time(daemon: &Daemon) {
+    let observed_since = Instant::now();
+    while observed_since.elapsed() < OBSERVATION_TIME {
+        let called_at = Instant::now();
+        let answer = daemon.admin_call("readyz");
+        let latency = called_at.elapsed();
+        assert!(answer.starts_with("YES"), "{answer}");
+        assert!(latency < ADMIN_DEADLINE, "the admin call was answered after {latency:?}");
+    }
+}
--- a/tests/daemon/main.rs
+++ b/tests/daemon/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod fake_servers;
+mod floods;
 mod hot_restart;
 mod irc;
 mod migration;
--- a/tests/daemon/platform/mod.rs
+++ b/tests/daemon/platform/mod.rs
@@ -56,11 +56,11 @@
     )
 }
 
-fn start_daemon(discovery: SocketAddr, known: &str) -> Daemon {
+pub(crate) fn start_daemon(discovery: SocketAddr, known: &str) -> Daemon {
     Daemon::start(&irc_config(&[], ""), Some(&config(discovery, known)))
 }
 
-fn connect_and_open(daemon: &Daemon) -> Client {
+pub(crate) fn connect_and_open(daemon: &Daemon) -> Client {
     static NEXT_ID: AtomicUsize = AtomicUsize::new(0);
     let mut client = Client::connect(&daemon.platform_address);
     client.send_line(&format!("OPEN id{} 7f3a c=chat,d=3000", NEXT_ID.fetch_add(1, Ordering::Relaxed)));
