Catch up with all other replicas before writes count as confirmed

Cause: a restarted node assigns low counters until it has the entries that it missed. The store took the first message of any node as the end of that time, also one of a node that had just restarted, and readyz answered YES before the entries arrived, eight for each digest. A write was repeated over later entries while its node had heard nobody.

An unconfirmed write is repeated over an entry only if the sender's digest was never equal.

The test a_write_after_a_restart_without_data_wins now confirms the writes of the replica that exchanged its entries with a third one. The daemon does so after the catch-up; the map alone no longer does by itself. The asserted outcome is the same.

--- a/src/routing/admin.rs
+++ b/src/routing/admin.rs
@@ -1,7 +1,8 @@
 //! Execution of admin calls: readiness, metrics, exclusion and readmission.
 //!
-//! A process is ready while it can serve new requests: its fronts listen, every pool has an endpoint list, no
-//! successor of a hot restart serves, and no graceful shutdown has begun.
+//! A process can serve new requests while its fronts listen, every pool has an endpoint list, no successor of
+//! a hot restart serves, and no graceful shutdown has begun. It is ready when, in addition, its replica of the
+//! map has received the entries that it missed before its start.
 //!
 //! An exclusion is applied before the reply is sent. While there is a peer process, the reply also waits for
 //! the peer process's acknowledgement ([`super::hot_restart`]). Exclusions are rejected until the fronts
@@ -61,7 +62,20 @@
 
     /// Returns whether this process can serve new requests.
     pub fn is_serving(&self) -> bool {
-        self.readiness().is_ok()
+        self.check_serving().is_ok()
+    }
+
+    /// Checks whether this process is ready.
+    ///
+    /// # Errors
+    ///
+    /// The first reason why it is not.
+    fn readiness(&self) -> Result<(), AdminRejection> {
+        self.check_serving()?;
+        if !self.replication.is_ready() {
+            return Err(AdminRejection::CatchingUp);
+        }
+        Ok(())
     }
 
     /// Checks whether this process can serve new requests.
@@ -69,7 +83,7 @@
     /// # Errors
     ///
     /// The first reason why it cannot.
-    fn readiness(&self) -> Result<(), AdminRejection> {
+    fn check_serving(&self) -> Result<(), AdminRejection> {
         if self.shutdown.has_begun() {
             return Err(AdminRejection::ShuttingDown);
         }
--- a/src/routing/admin_call.rs
+++ b/src/routing/admin_call.rs
@@ -44,6 +44,9 @@
     /// At least one pool has no endpoint list yet. The text calls the list a routing table.
     #[error("no routing table yet")]
     NoEndpointList,
+    /// The replicated map is receiving the entries that this process missed before its start.
+    #[error("the store is not caught up with its peers yet")]
+    CatchingUp,
     /// Exclusions are not accepted before the fronts listen. The condition is that of
     /// [`AdminRejection::NotListening`], which answers a call for the readiness.
     #[error("not ready yet")]
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -25,7 +25,7 @@
 //! | --- | --- |
 //! | connections of clients | `connection_table`, `front_admission` |
 //! | pools of servers | `pool`, and the parts that it lists |
-//! | exclusions and replicated map | `operator_exclusions`, `replica`, `store` |
+//! | exclusions and replicated map | `operator_exclusions`, `replica`, `catch_up`, `store` |
 //! | hot restart and shutdown | `hot_restart_state`, `shutdown_state` |
 //!
 //! Each pool of servers has a balancer (`src/policy/`), which chooses the server for each request. A
@@ -49,6 +49,7 @@
 mod admitted_connections;
 mod answers;
 mod attempts;
+mod catch_up;
 mod client;
 mod configuration;
 mod connection_request;
--- a/src/routing/replica.rs
+++ b/src/routing/replica.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::catch_up::CatchUp;
 use super::store::{
     AddressedReplicaMessage, Digest, Entry, KeyedEntry, ReplicaMessage, ReplicatedMap, WriteError,
 };
@@ -20,6 +21,7 @@
     digests_sent: usize,
     /// Time at which the next digest is sent; `None` without other replicas.
     next_digest_at: Option<Time>,
+    catch_up: CatchUp,
 }
 
 impl Replica {
@@ -27,6 +29,7 @@
         Replica {
             map: ReplicatedMap::new(&config.node),
             next_digest_at: (!config.other_replicas.is_empty()).then_some(now),
+            catch_up: CatchUp::start(now, &config.other_replicas),
             other_replicas: config.other_replicas,
             digests_sent: 0,
         }
@@ -36,6 +39,12 @@
         &self.map
     }
 
+    /// Returns whether the entries that this node missed before its start have been received, or their wait
+    /// has ended.
+    pub(super) fn is_ready(&self) -> bool {
+        self.catch_up.is_ready()
+    }
+
     /// Returns whether this node takes part in replication.
     pub(super) fn is_enabled(&self) -> bool {
         self.map.is_enabled()
@@ -52,9 +61,15 @@
         }
     }
 
-    /// Merges an entry of another replica. Returns the new entry of the key, or `None` if the key is
+    /// Merges an entry that another replica sent. Returns the new entry of the key, or `None` if the key is
     /// unchanged.
-    pub(super) fn merge_remote_entry(&mut self, key: &str, entry: Entry) -> Option<Entry> {
+    ///
+    /// A replica whose digest was equal had all writes of this node. An entry that it sends since then is a
+    /// later write, and an unconfirmed write must not be repeated over it.
+    pub(super) fn merge_remote_entry(&mut self, from: SocketAddr, key: &str, entry: Entry) -> Option<Entry> {
+        if self.catch_up.is_equal(from) {
+            self.map.confirm_write(key);
+        }
         self.map.merge_remote_entry(key, entry)
     }
 
@@ -76,18 +91,24 @@
     pub(super) fn set_other_replicas(&mut self, now: Time, other_replicas: Vec<SocketAddr>) {
         if self.other_replicas != other_replicas {
             self.next_digest_at = (!other_replicas.is_empty()).then_some(now);
+            self.catch_up.set_replicas(&other_replicas);
             self.other_replicas = other_replicas;
         }
     }
 
     pub(super) fn next_digest_at(&self) -> Option<Time> {
-        self.next_digest_at
+        self.next_digest_at.into_iter().chain(self.catch_up.next_request_at()).min()
     }
 
-    /// Returns the next digest if its time has been reached, and schedules the one after it.
-    pub(super) fn scheduled_digest(&mut self, now: Time) -> Option<AddressedReplicaMessage> {
-        self.next_digest_at.filter(|&at| at <= now)?;
-        self.next_digest(now)
+    /// Returns the digests whose time has been reached: those of the catch-up and the next one in rotation.
+    pub(super) fn scheduled_digests(&mut self, now: Time) -> Vec<AddressedReplicaMessage> {
+        let requested = self.catch_up.due_requests(now);
+        self.confirm_writes_after_catch_up();
+        let mut digests: Vec<_> = requested.into_iter().map(|replica| self.request_digest(replica)).collect();
+        if self.next_digest_at.is_some_and(|at| at <= now) {
+            digests.extend(self.next_digest(now));
+        }
+        digests
     }
 
     /// Returns a digest for the next replica in rotation, and schedules the following digest. Returns `None`
@@ -96,17 +117,44 @@
         let replica = *self.other_replicas.get(self.digests_sent % self.other_replicas.len().max(1))?;
         self.digests_sent += 1;
         self.next_digest_at = Some(now.plus(DIGEST_INTERVAL));
+        Some(self.request_digest(replica))
+    }
+
+    /// Returns a message with the local digest that requests the digest of a replica.
+    fn request_digest(&self, replica: SocketAddr) -> AddressedReplicaMessage {
         let message = ReplicaMessage::Digest { digest_requested: true, digest: self.map.digest() };
-        Some(AddressedReplicaMessage { to: replica, message })
+        AddressedReplicaMessage { to: replica, message }
     }
 
-    /// Returns the messages to a replica with this digest: the local digest if it was requested and differs,
-    /// followed by entries.
-    pub(super) fn answer_digest(&mut self, digest_requested: bool, digest: &Digest) -> Vec<ReplicaMessage> {
+    /// Returns the messages to a replica with this digest: entries, then the local digest if it was
+    /// requested. The digest is sent last, so that the other replica compares it after it has merged the
+    /// entries. It is sent even if both are equal, because the other replica may be catching up.
+    ///
+    /// During the catch-up, a difference is answered by a further request, so that the exchange continues
+    /// without a delay until the digests are equal.
+    pub(super) fn answer_digest(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        digest_requested: bool,
+        digest: &Digest,
+    ) -> Vec<ReplicaMessage> {
         let mut answer = self.map.answer_digest(digest);
-        if digest_requested && (!answer.is_empty() || *digest != self.map.digest()) {
-            answer.insert(0, ReplicaMessage::Digest { digest_requested: false, digest: self.map.digest() });
+        let local = self.map.digest();
+        let waits_for_entries = self.catch_up.record_digest(now, from, local == *digest);
+        self.confirm_writes_after_catch_up();
+        if digest_requested || waits_for_entries {
+            answer.push(ReplicaMessage::Digest {
+                digest_requested: waits_for_entries && !digest_requested,
+                digest: local,
+            });
         }
         answer
     }
+
+    fn confirm_writes_after_catch_up(&mut self) {
+        if self.catch_up.is_complete() {
+            self.map.confirm_writes();
+        }
+    }
 }
--- a/src/routing/replication.rs
+++ b/src/routing/replication.rs
@@ -8,6 +8,8 @@
 //! - At a fixed interval, a digest is sent to one of the other replicas, in rotation. The receiver answers
 //!   with its own digest and with entries of the buckets that differ, and receives entries in return. This
 //!   anti-entropy repairs the effects of lost datagrams.
+//! - After the start, digests are exchanged with all other replicas without a delay, until this replica has
+//!   the entries that it missed ([`super::catch_up`]). The process is not ready before.
 //! - Digests and entries are accepted from configured replicas only, and writes from this machine only.
 //!
 //! A changed entry is logged and persisted. If its key affects endpoint lists, the lists of all pools are
@@ -42,15 +44,15 @@
         }
         match message {
             ReplicaMessage::Digest { digest_requested, digest } => {
-                self.on_digest(from, digest_requested, &digest);
+                self.on_digest(now, from, digest_requested, &digest);
             }
-            ReplicaMessage::Entry { key, entry } => self.on_entry_received(now, key, entry),
+            ReplicaMessage::Entry { key, entry } => self.on_entry_received(now, from, key, entry),
             ReplicaMessage::Write { key, value } => self.on_write_requested(now, from, key, value),
         }
     }
 
-    fn on_digest(&mut self, from: SocketAddr, digest_requested: bool, digest: &Digest) {
-        for message in self.replication.answer_digest(digest_requested, digest) {
+    fn on_digest(&mut self, now: Time, from: SocketAddr, digest_requested: bool, digest: &Digest) {
+        for message in self.replication.answer_digest(now, from, digest_requested, digest) {
             self.send_replica_message(from, message);
         }
     }
@@ -59,8 +61,8 @@
         self.effects.push(Effect::SendReplicaMessage(AddressedReplicaMessage { to, message }));
     }
 
-    fn on_entry_received(&mut self, now: Time, key: String, entry: Entry) {
-        if let Some(entry) = self.replication.merge_remote_entry(&key, entry) {
+    fn on_entry_received(&mut self, now: Time, from: SocketAddr, key: String, entry: Entry) {
+        if let Some(entry) = self.replication.merge_remote_entry(from, &key, entry) {
             self.on_entry_stored(now, key, entry);
         }
     }
@@ -129,9 +131,9 @@
         }));
     }
 
-    /// Sends the next digest if its time has been reached.
-    pub(super) fn send_scheduled_digest(&mut self, now: Time) {
-        let digest = self.replication.scheduled_digest(now);
-        self.effects.extend(digest.map(Effect::SendReplicaMessage));
+    /// Sends the digests whose time has been reached.
+    pub(super) fn send_scheduled_digests(&mut self, now: Time) {
+        let digests = self.replication.scheduled_digests(now);
+        self.effects.extend(digests.into_iter().map(Effect::SendReplicaMessage));
     }
 }
--- a/src/routing/store.rs
+++ b/src/routing/store.rs
@@ -12,9 +12,10 @@
 //! it does with a late endpoint list. A consistent store would need a majority of nodes to drain one server,
 //! and balancers fail when drains are needed most.
 //!
-//! A node that restarts without its entries assigns low counters to its writes, which would then lose to
-//! older entries. Writes made before the first message of another node are therefore unconfirmed. An
-//! unconfirmed write that loses to a received entry is repeated once, with a counter above that of the entry.
+//! A node that restarts assigns low counters to its writes until it has received the entries that it missed.
+//! Such writes would lose to older entries. Writes made before the node is caught up
+//! ([`super::catch_up`]) are therefore unconfirmed. An unconfirmed write that loses to a received entry is
+//! repeated once, with a counter above that of the entry.
 //!
 //! [`ReplicatedMap`] owns the entries of one node. It neither sends nor persists anything, but returns the
 //! messages and entries to the caller (`src/routing/replication.rs`). All sizes are bounded, including those
@@ -78,8 +79,8 @@
     highest_counter: u64,
     /// Keys that were written at this node and for which another node may have newer entries.
     unconfirmed_writes: BTreeSet<String>,
-    /// Whether a message of another node has been received.
-    has_peer_contact: bool,
+    /// Whether the entries of the other nodes have been received.
+    is_caught_up: bool,
     repair_position: RepairPosition,
 }
 
@@ -133,14 +134,20 @@
     ///
     /// Returns an error if the entry would be invalid or the map is full.
     pub fn write(&mut self, key: &str, value: Option<&str>) -> Result<Entry, WriteError> {
+        let entry = self.write_next(key, value)?;
+        if !self.is_caught_up {
+            self.unconfirmed_writes.insert(key.to_owned());
+        }
+        Ok(entry)
+    }
+
+    /// Stores an entry of this node with a counter above those of all other entries.
+    fn write_next(&mut self, key: &str, value: Option<&str>) -> Result<Entry, WriteError> {
         let entry = Entry {
             counter: self.highest_counter + 1,
             node: self.node.clone(),
             value: value.map(str::to_owned),
         };
-        if !self.has_peer_contact {
-            self.unconfirmed_writes.insert(key.to_owned());
-        }
         if !Self::is_valid(key, &entry) {
             return Err(WriteError::InvalidEntry {
                 key_length: key.len(),
@@ -171,16 +178,27 @@
     /// unchanged. The new entry is the received one, or the repetition of an unconfirmed write that lost to
     /// it.
     pub fn merge_remote_entry(&mut self, key: &str, entry: Entry) -> Option<Entry> {
-        self.has_peer_contact = true;
         let local = self.entries.get(key).cloned();
         let merged = self.merge_entry(key, entry.clone()).then_some(entry);
         let was_unconfirmed = self.unconfirmed_writes.remove(key);
         match local.filter(|_| was_unconfirmed && merged.is_some()) {
-            Some(overwritten) => self.write(key, overwritten.value.as_deref()).ok(),
+            Some(overwritten) => self.write_next(key, overwritten.value.as_deref()).ok(),
             None => merged,
         }
     }
 
+    /// Records that the latest write of a key at this node is not repeated if it loses to a received entry.
+    pub fn confirm_write(&mut self, key: &str) {
+        self.unconfirmed_writes.remove(key);
+    }
+
+    /// Records that the entries of the other nodes have been received. All writes at this node are confirmed
+    /// from then on.
+    pub fn confirm_writes(&mut self) {
+        self.is_caught_up = true;
+        self.unconfirmed_writes.clear();
+    }
+
     /// Returns the digest of all entries.
     pub fn digest(&self) -> Digest {
         digest_of(self.entries.iter())
@@ -189,12 +207,7 @@
     /// Returns the messages to a node with this digest: at most `MAX_REPAIR_ENTRIES` entries of the buckets
     /// in which the digests differ.
     pub fn answer_digest(&mut self, remote: &Digest) -> Vec<ReplicaMessage> {
-        self.has_peer_contact = true;
         let local = self.digest();
-        if local == *remote {
-            // The other node has the same entries, so none of its entries supersedes a local write.
-            self.unconfirmed_writes.clear();
-        }
         let differs = |key: &str| local[bucket_of(key)] != remote[bucket_of(key)];
         let differing: Vec<_> = self.entries.iter().filter(|(key, _)| differs(key)).collect();
         let count = differing.len().min(MAX_REPAIR_ENTRIES);
--- a/src/routing/timers.rs
+++ b/src/routing/timers.rs
@@ -39,7 +39,7 @@
             self.evict_pending_connections(now);
         }
         self.reply_to_timed_out_admin_clients(now);
-        self.send_scheduled_digest(now);
+        self.send_scheduled_digests(now);
         for pool in (0..self.pools.len()).map(PoolId) {
             if self.pools[pool.0].clear_expired_balancer_timer(now) {
                 self.dispatch(now, pool, Event::TimerFired);
--- a/tests/daemon/store.rs
+++ b/tests/daemon/store.rs
@@ -110,6 +110,8 @@
         replicas[1].write("life/h", None).expect("the entry fits");
     }
     (0..2).for_each(|_| exchange(&mut replicas, 1, 2, |_| false));
+    // A replica that has caught up with another one knows that its entries are the latest.
+    replicas[1].confirm_writes();
     replicas[0].write("life/h", Some("draining")).expect("the entry fits");
     for _ in 0..3 {
         exchange(&mut replicas, 0, 1, |_| false);
--- a/tests/reducer/admin.rs
+++ b/tests/reducer/admin.rs
@@ -270,11 +270,12 @@
 /// Operators' scripts read these lines.
 #[test]
 fn writes_the_agreed_reason_of_each_rejection() {
-    let cases: [(AdminRejection, &str); 9] = [
+    let cases: [(AdminRejection, &str); 10] = [
         (AdminRejection::ShuttingDown, "NO leaving\r\n"),
         (AdminRejection::ReplacedBySuccessor, "NO another process serves in its place\r\n"),
         (AdminRejection::NotListening, "NO not listening yet\r\n"),
         (AdminRejection::NoEndpointList, "NO no routing table yet\r\n"),
+        (AdminRejection::CatchingUp, "NO the store is not caught up with its peers yet\r\n"),
         (AdminRejection::ExclusionsNotAccepted, "NO not ready yet\r\n"),
         (AdminRejection::UnknownServer("s-1".to_owned()), "NO no host s-1 was ever listed\r\n"),
         (AdminRejection::NotStored(WriteError::MapFull), "NO the store is full\r\n"),
--- a/tests/reducer/main.rs
+++ b/tests/reducer/main.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod attempts;
+mod catch_up;
 mod harness;
 mod hot_restart;
 mod load_reports;
