Stop reading an IRC client while its answers to invalid lines are unread

Cause: the front answers each invalid line itself, with twenty times its bytes. Only bytes pending for the server paused the reading of a client, not the answers pending for the client, and one read of 8 KiB could add 160 KiB of answers at once.

Change: an established client is not read while answers of the front are among its pending bytes and its buffer is full. The IRC front keeps the lines that follow 4 KiB of answers and processes them in further turns (Front::has_unprocessed_lines). Lines of the server alone pause nothing, so that a client that writes before it reads on does not block.

--- a/src/protocol/irc/connection.rs
+++ b/src/protocol/irc/connection.rs
@@ -17,6 +17,8 @@
 /// Maximum number of bytes that a client may send before its registration is complete, including skipped
 /// bytes.
 const MAX_REGISTRATION_BYTES: usize = 64 << 10;
+/// Number of bytes of answers to invalid lines after which the client's further lines are kept unprocessed.
+const MAX_ANSWER_BYTES: usize = 4 << 10;
 /// Maximum number of bytes that a client may send between its registration and the acceptance by a server.
 const MAX_EARLY_BYTES: usize = 8 << 10;
 
@@ -43,6 +45,8 @@
     /// Number of bytes that the client sent before its registration was complete.
     registration_bytes: usize,
     client_lines: ClientLines,
+    /// Whether the client's lines were not all processed, because their answers take too much memory.
+    has_unprocessed_lines: bool,
     /// Lines of the server before it accepts.
     handshake: ServerHandshake,
     /// Lines of the server after it has accepted.
@@ -58,9 +62,14 @@
     }
 
     /// Removes and returns the client's next valid line. Each invalid line before it is answered by one
-    /// event.
-    fn next_client_line(&mut self, events: &mut Vec<FrontEvent>) -> Option<Vec<u8>> {
+    /// event. Returns `None` if no further line is complete, or if the answers of this call and of earlier
+    /// ones in `events` have at least `max_answer_bytes`.
+    fn next_client_line(&mut self, max_answer_bytes: usize, events: &mut Vec<FrontEvent>) -> Option<Vec<u8>> {
         loop {
+            self.has_unprocessed_lines = answer_bytes(events) >= max_answer_bytes;
+            if self.has_unprocessed_lines {
+                return None;
+            }
             let reply = match self.client_lines.next_line() {
                 ClientLine::Valid(line) => return Some(line),
                 ClientLine::Incomplete => return None,
@@ -74,7 +83,8 @@
     fn read_registration(&mut self, events: &mut Vec<FrontEvent>) {
         while self.phase == Phase::Registering {
             let events_before = events.len();
-            let line = self.next_client_line(events);
+            // The number of lines is limited during the registration, and so are the answers.
+            let line = self.next_client_line(usize::MAX, events);
             // Each invalid line was answered by one event.
             self.registration_lines += (events.len() - events_before) as u32;
             let Some(line) = line else { return self.close_on_flood(events) };
@@ -138,10 +148,11 @@
         events.push(FrontEvent::Close);
     }
 
-    /// Relays the client's valid lines to the server, and records a `QUIT`.
+    /// Relays the client's valid lines to the server, and records a `QUIT`. Lines that follow
+    /// [`MAX_ANSWER_BYTES`] of answers are kept for the next call.
     fn relay_to_server(&mut self, events: &mut Vec<FrontEvent>) {
         let mut lines = Vec::new();
-        while let Some(line) = self.next_client_line(events) {
+        while let Some(line) = self.next_client_line(MAX_ANSWER_BYTES, events) {
             self.has_quit |=
                 parse_message(&line).is_some_and(|message| message.command.eq_ignore_ascii_case(QUIT));
             lines.extend_from_slice(&line);
@@ -183,6 +194,15 @@
     }
 }
 
+/// Returns the number of bytes that these events send to the client.
+fn answer_bytes(events: &[FrontEvent]) -> usize {
+    let sent = events.iter().filter_map(|event| match event {
+        FrontEvent::ToClient(bytes) => Some(bytes.len()),
+        _ => None,
+    });
+    sent.sum()
+}
+
 impl Front for Connection {
     fn client_sent(&mut self, bytes: &[u8], events: &mut Vec<FrontEvent>) {
         if self.phase == Phase::Closed {
@@ -203,6 +223,10 @@
         }
     }
 
+    fn has_unprocessed_lines(&self) -> bool {
+        self.has_unprocessed_lines
+    }
+
     fn open_attempt(&mut self, _acceptance_timeout: Micros) -> Vec<u8> {
         self.handshake = ServerHandshake::default();
         self.registration.encode_for_server()
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -59,7 +59,12 @@
 /// Protocol of one client connection and of the current attempt for it.
 pub trait Front {
     /// Processes bytes that the client sent, and appends the resulting events.
+    ///
+    /// If the answers to the client's lines would take too much memory, the remaining lines are kept. They are
+    /// processed by further calls, which may pass no bytes.
     fn client_sent(&mut self, bytes: &[u8], events: &mut Vec<FrontEvent>);
+    /// Returns whether lines of the client were kept by the last call of [`Front::client_sent`].
+    fn has_unprocessed_lines(&self) -> bool;
     /// Starts an attempt, and returns the request to send to the server. The server has to accept within
     /// `acceptance_timeout`.
     fn open_attempt(&mut self, acceptance_timeout: Micros) -> Vec<u8>;
--- a/src/protocol/platform/connection.rs
+++ b/src/protocol/platform/connection.rs
@@ -129,6 +129,10 @@
         }
     }
 
+    fn has_unprocessed_lines(&self) -> bool {
+        false
+    }
+
     fn open_attempt(&mut self, acceptance_timeout: Micros) -> Vec<u8> {
         self.server_lines = LineBuffer::default();
         self.request_template.with_timeout(acceptance_timeout)
--- a/src/transport/connection/client_side.rs
+++ b/src/transport/connection/client_side.rs
@@ -7,6 +7,7 @@
 use super::socket_end::SocketEnd;
 use super::{Connection, CLOSE_TIMEOUT, READ_BUFFER_BYTES};
 use crate::protocol::pcap::{CloseKind, Direction};
+use crate::protocol::FrontEvent;
 use crate::routing::Input;
 
 /// A function that reads a socket: [`SocketEnd::read`] or [`SocketEnd::read_from_system`].
@@ -28,15 +29,21 @@
                 self.record(|recorder, at| {
                     recorder.record_data(at, Direction::FromClient, &buffer[..length])
                 });
-                let mut events = Vec::new();
-                self.front.client_sent(&buffer[..length], &mut events);
-                self.apply_events(events);
+                self.process_client_bytes(&buffer[..length]);
             }
             Err(_) => self.on_client_broken(),
         }
         true
     }
 
+    /// Passes bytes of the client, or none, to the front, which also processes the lines that it has kept.
+    pub(super) fn process_client_bytes(&mut self, bytes: &[u8]) {
+        let mut events = Vec::new();
+        self.front.client_sent(bytes, &mut events);
+        self.has_unread_answers |= events.iter().any(|event| matches!(event, FrontEvent::ToClient(_)));
+        self.apply_events(events);
+    }
+
     /// Reads all bytes that the client has sent so far, unless the connection is established or closing.
     pub(super) fn read_pending_request(&mut self) {
         while !self.is_closing() && !self.established && self.read_client(SocketEnd::read_from_system) {}
@@ -45,6 +52,7 @@
     /// Writes to the client without waiting.
     pub(super) fn flush_client(&mut self) {
         let flushed = self.client.flush();
+        self.has_unread_answers &= self.client.pending_len() > 0;
         if let Some(recorded) = self.client.take_recorded() {
             self.record(|recorder, at| recorder.record_data(at, Direction::ToClient, &recorded));
         }
--- a/src/transport/connection/mod.rs
+++ b/src/transport/connection/mod.rs
@@ -67,8 +67,11 @@
     client_quiet_since: Instant,
     /// Number of bytes that the client has sent while the connection was closing.
     discarded_bytes: usize,
-    /// Whether a socket was read since the task last yielded.
+    /// Whether a socket was read, or lines that the front had kept were processed, since the task last
+    /// yielded.
     has_read: bool,
+    /// Whether answers of the front itself may be among the bytes that are pending for the client.
+    has_unread_answers: bool,
     /// Whether the client has its final answer, so that further output of the server is discarded.
     discard_server_output: bool,
     /// Number of bytes pending for one side at which reading from the other side pauses.
@@ -160,6 +163,7 @@
             client_quiet_since: Instant::now(),
             discarded_bytes: 0,
             has_read: false,
+            has_unread_answers: false,
             discard_server_output: false,
             buffer_limit: context.reducer.buffer_limit(),
             recorder: None,
@@ -197,7 +201,7 @@
         loop {
             self.flush();
             if std::mem::take(&mut self.has_read) {
-                // The flush comes first, so that no other task runs between a connect's success and the
+                // The flush precedes the yield, so that no other task runs between a connect's success and the
                 // write of the request.
                 tokio::task::yield_now().await;
             }
@@ -206,6 +210,7 @@
                 return;
             }
             let can_read_client = self.can_read_client();
+            let can_process_lines = self.front.has_unprocessed_lines() && !self.is_closing();
             let can_read_attempt = self.client.pending_len() < self.buffer_limit;
             let Awaited { connecting, socket: attempt } = self.upstream.awaited();
             tokio::select! {
@@ -220,6 +225,10 @@
                 () = wait_readable(attempt), if can_read_attempt => {
                     self.has_read = self.read_attempt();
                 }
+                () = std::future::ready(()), if can_read_client && can_process_lines => {
+                    self.process_client_bytes(&[]);
+                    self.has_read = true;
+                }
                 () = wait_readable(Some(&self.client)), if can_read_client => {
                     self.has_read = self.read_client(SocketEnd::read);
                 }
@@ -247,11 +256,12 @@
         (client_closed && self.upstream.is_write_finished()) || Instant::now() >= close_time
     }
 
-    /// Returns whether the buffers have capacity for more bytes from the client.
+    /// Returns whether the buffers have capacity for more bytes from the client, and for the answers to them.
     fn can_read_client(&self) -> bool {
         let pending = self.upstream.socket().map_or(0, SocketEnd::pending_len) + self.front.buffered_bytes();
+        let answers_fit = !self.has_unread_answers || self.client.pending_len() < self.buffer_limit;
         // Before a connection is established, its front's protocol enforces its own limit.
-        let has_capacity = pending < self.buffer_limit || !self.established;
+        let has_capacity = (pending < self.buffer_limit && answers_fit) || !self.established;
         has_capacity && self.discarded_bytes < MAX_DISCARDED_BYTES
     }
 
--- a/tests/daemon/floods/fairness.rs
+++ b/tests/daemon/floods/fairness.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use super::{assert_admin_calls_are_answered_in_time, discard_input, flood};
+use super::{assert_admin_calls_are_answered_in_time, discard_input, flood, start_irc_front};
 use crate::fake_servers::discovery::{endpoint, endpoint_list, Discovery};
 use crate::fake_servers::{irc_config, Client, Daemon, FakeIrcServer, ManualServer, RegistrationReply};
 use crate::platform;
@@ -60,10 +60,7 @@
 fn endless_lines_before_a_welcome_do_not_stop_the_daemon() {
     for line in ["NOTICE * :wait\r\n", "PING :cookie\r\n"] {
         let flooding = ManualServer::start();
-        let mut config = irc_config(&[], "");
-        let listed = format!(r#""hosts": [{{"name": "irc-0", "address": "{}"}}]"#, flooding.address);
-        config = config.replace(r#""hosts": []"#, &listed);
-        let daemon = Daemon::start(&config, None);
+        let daemon = start_irc_front(&flooding, "");
 
         let clients: Vec<Client> =
             (0..FLOODS).map(|n| Client::register(&daemon.irc_address, &format!("bert{n}"))).collect();
--- a/tests/daemon/floods/mod.rs
+++ b/tests/daemon/floods/mod.rs
@@ -2,12 +2,13 @@
 //! all other connections in time.
 
 mod fairness;
+mod memory;
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use crate::fake_servers::{Client, Daemon};
+use crate::fake_servers::{irc_config, Client, Daemon, ManualServer};
 
 /// Time within which the daemon answers each admin call, whatever the load.
 const ADMIN_DEADLINE: Duration = Duration::from_secs(1);
@@ -18,6 +19,12 @@
 /// Size of the buffer in which the bytes of a flood are read.
 const READ_BUFFER_BYTES: usize = 256 << 10;
 
+/// Starts a daemon whose IRC front has one server, with further members of the operator's file.
+fn start_irc_front(server: &ManualServer, more: &str) -> Daemon {
+    let hosts = format!(r#""hosts": [{{"name": "irc-0", "address": "{}"}}]"#, server.address);
+    Daemon::start(&irc_config(&[], more).replace(r#""hosts": []"#, &hosts), None)
+}
+
 /// Repeats a line at full speed, in a thread that ends with the connection.
 fn flood(connection: &Client, line: &str) {
     let chunk = line.repeat(CHUNK_BYTES / line.len());
