Stop reading a server that does not read its PONGs before the welcome

Cause: the front answers each PING of the handshake itself. A server was read as long as few bytes were pending for the client; the PONGs pending for the server did not count.

Change: until a connection is established, the bytes pending for the server count as well (Connection::can_read_attempt). Afterwards they are the client's lines and do not count: a server that writes before it reads on would never finish. The attempt's deadline then ends the attempt.

--- a/src/transport/connection/mod.rs
+++ b/src/transport/connection/mod.rs
@@ -211,7 +211,7 @@
             }
             let can_read_client = self.can_read_client();
             let can_process_lines = self.front.has_unprocessed_lines() && !self.is_closing();
-            let can_read_attempt = self.client.pending_len() < self.buffer_limit;
+            let can_read_attempt = self.can_read_attempt();
             let Awaited { connecting, socket: attempt } = self.upstream.awaited();
             tokio::select! {
                 biased;
@@ -265,6 +265,16 @@
         has_capacity && self.discarded_bytes < MAX_DISCARDED_BYTES
     }
 
+    /// Returns whether the buffers have capacity for more bytes from the server.
+    ///
+    /// Before a connection is established, the front itself answers the server, so that the answers that the
+    /// server does not read count as well. Afterwards the bytes that are pending for the server are the
+    /// client's. They do not count: a server that writes before it reads on would never finish its write.
+    fn can_read_attempt(&self) -> bool {
+        let answers = self.upstream.socket().filter(|_| !self.established).map_or(0, SocketEnd::pending_len);
+        self.client.pending_len() < self.buffer_limit && answers < self.buffer_limit
+    }
+
     fn is_closing(&self) -> bool {
         self.close_deadline.is_some()
     }
--- a/tests/daemon/fake_servers/client.rs
+++ b/tests/daemon/fake_servers/client.rs
@@ -41,6 +41,15 @@
         self.stream().write_all(format!("{line}\r\n").as_bytes()).expect("the line is written");
     }
 
+    /// Returns whether there are bytes to read, or the stream has ended.
+    pub(crate) fn has_input(&self) -> bool {
+        let stream = self.stream();
+        stream.set_nonblocking(true).expect("the mode is set");
+        let has_input = stream.peek(&mut [0]).is_ok();
+        stream.set_nonblocking(false).expect("the mode is set");
+        has_input
+    }
+
     /// Reads the next line without its line end. Returns an empty line at the end of the stream or after a
     /// reset.
     pub(crate) fn read_line(&mut self) -> String {
--- a/tests/daemon/fake_servers/daemon.rs
+++ b/tests/daemon/fake_servers/daemon.rs
@@ -186,13 +186,13 @@
         lines.lines().filter_map(matching_value).sum::<f64>() as u64
     }
 
-    /// Returns the largest amount of memory that the process has used so far, in megabytes.
-    pub(crate) fn peak_memory_mb(&self) -> u64 {
+    /// Returns the largest amount of memory that the process has used so far, in kilobytes.
+    pub(crate) fn peak_memory_kb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.expect("the status of the process is read");
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
         let kilobytes = peak.and_then(|peak| peak.trim().strip_suffix(" kB")?.parse::<u64>().ok());
-        kilobytes.expect("the status has the peak of the memory") / 1024
+        kilobytes.expect("the status has the peak of the memory")
     }
 
     /// Waits until the process exits. Returns whether its exit status is success.
--- a/tests/daemon/floods/mod.rs
+++ b/tests/daemon/floods/mod.rs
@@ -5,10 +5,12 @@
 mod memory;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use crate::fake_servers::discovery::{endpoint, endpoint_list};
 use crate::fake_servers::{irc_config, Client, Daemon, ManualServer};
+use crate::platform;
 
 /// Time within which the daemon answers each admin call, whatever the load.
 const ADMIN_DEADLINE: Duration = Duration::from_secs(1);
@@ -19,12 +21,50 @@
 /// Size of the buffer in which the bytes of a flood are read.
 const READ_BUFFER_BYTES: usize = 256 << 10;
 
+/// Number of listed IRC servers. All have the same address.
+const IRC_SERVERS: usize = 100;
+
 /// Starts a daemon whose IRC front has one server, with further members of the operator's file.
 fn start_irc_front(server: &ManualServer, more: &str) -> Daemon {
-    let hosts = format!(r#""hosts": [{{"name": "irc-0", "address": "{}"}}]"#, server.address);
+    let host = |number: usize| format!(r#"{{"name": "irc-{number}", "address": "{}"}}"#, server.address);
+    let hosts = format!(r#""hosts": [{}]"#, (0..IRC_SERVERS).map(host).collect::<Vec<_>>().join(", "));
     Daemon::start(&irc_config(&[], more).replace(r#""hosts": []"#, &hosts), None)
 }
 
+/// Limits of a process, as in the configuration.
+#[derive(Clone, Copy)]
+struct Limits {
+    sockets: u32,
+    memory_mb: u64,
+}
+
+/// Smallest limits of a deployment.
+const SMALLEST_LIMITS: Limits = Limits { sockets: 512, memory_mb: 16 };
+
+impl Limits {
+    fn to_json(self) -> String {
+        format!(r#"{{"sockets": {}, "memory_mb": {}}}"#, self.sockets, self.memory_mb)
+    }
+
+    /// Returns a further member of an operator's file.
+    fn member(self) -> String {
+        format!(r#", "limits": {}"#, self.to_json())
+    }
+
+    /// Checks the largest amount of memory that the daemon has used so far.
+    fn assert_kept(self, daemon: &Daemon) {
+        let (peak_kb, limit_kb) = (daemon.peak_memory_kb(), self.memory_mb << 10);
+        assert!(peak_kb <= limit_kb, "used {peak_kb} kB, the limit is {limit_kb} kB");
+    }
+}
+
+/// Starts a daemon with a platform front that has one server.
+fn start_platform_front(discovery: SocketAddr, server: &ManualServer, limits: Limits) -> Daemon {
+    let list = endpoint_list(1, true, &[endpoint("s-00000001", server.address, "ready")]);
+    let config = platform::config(discovery, &list).replace(platform::LIMITS, &limits.to_json());
+    Daemon::start(&irc_config(&[], ""), Some(&config))
+}
+
 /// Repeats a line at full speed, in a thread that ends with the connection.
 fn flood(connection: &Client, line: &str) {
     let chunk = line.repeat(CHUNK_BYTES / line.len());
--- a/tests/daemon/platform/mod.rs
+++ b/tests/daemon/platform/mod.rs
@@ -12,6 +12,9 @@
 
 use crate::fake_servers::{irc_config, Client, Daemon};
 
+/// Limits of the process in [`config`].
+pub(crate) const LIMITS: &str = r#"{"sockets": 160, "memory_mb": 32}"#;
+
 /// The lines that a fake server has received.
 type Lines = Arc<Mutex<Vec<String>>>;
 
@@ -45,10 +48,9 @@
 
 /// Returns a platform configuration. `known` is the endpoint list that the daemon has before it calls
 /// discovery.
-fn config(discovery: SocketAddr, known: &str) -> String {
-    let limits = r#"{"sockets": 160, "memory_mb": 32}"#;
+pub(crate) fn config(discovery: SocketAddr, known: &str) -> String {
     format!(
-        r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "5", "known": {known}, "limits": {limits},
+        r#"{{"name": "n0", "listen": "127.0.0.1:0", "discovery": "{discovery}", "seed": "5", "known": {known}, "limits": {LIMITS},
             "settings": {{"discovery": "on_request", "zones": ["a"],
               "classes": [{{"name": "chat", "deadline": 3000, "repeat": "repeatable"}}],
               "invariants": {{"must-ask-in": 2000}},
