Limit the fields of a response of discovery, whose parsed form exceeded the memory

Above its limit the platform kills the process.

Cause: the length of a response was limited, but not the number of its fields. The body was also copied twice, and the buffer of a connection to discovery kept the memory of the longest response.

Change: a head is limited to 16 KiB and a JSON document to 131,072 values, with errors that name the limits. The body is parsed in place, and the connection's buffer is released after each response.

--- a/src/protocol/http/endpoint_list.rs
+++ b/src/protocol/http/endpoint_list.rs
@@ -73,12 +73,12 @@
     })
 }
 
-/// Parses an endpoint list from the body of a response.
+/// Parses an endpoint list from the body of a response, which is overwritten.
 ///
 /// # Errors
 /// [`DecodeError`] if the body is not JSON, or with the key of the first faulty value.
-pub fn parse_endpoint_list(body: &[u8]) -> Result<EndpointListUpdate, DecodeError> {
-    let document = json::parse_document(body)?;
+pub fn parse_endpoint_list(body: &mut [u8]) -> Result<EndpointListUpdate, DecodeError> {
+    let document = json::parse_document_in_place(body)?;
     let root = JsonNode::root(&document);
     // Without this check, any other JSON document would be decoded as an empty list.
     for required in [key::GENERATION, key::ENDPOINTS] {
--- a/src/protocol/http/mod.rs
+++ b/src/protocol/http/mod.rs
@@ -7,4 +7,4 @@
 
 pub use endpoint_list::{decode_endpoint_list, parse_endpoint_list, EndpointListUpdate};
 pub use request::{encode_request, ChangesQuery};
-pub use response::{parse_response, HttpError, Response, MAX_RESPONSE_LENGTH};
+pub use response::{parse_response, HttpError, Response, MAX_HEAD_LENGTH, MAX_RESPONSE_LENGTH};
--- a/src/protocol/http/response.rs
+++ b/src/protocol/http/response.rs
@@ -11,6 +11,9 @@
 
 /// Maximum length of a response in bytes, many times the length of the endpoint list of the largest fleet.
 pub const MAX_RESPONSE_LENGTH: usize = 4 << 20;
+/// Maximum length of the head of a response in bytes. A parsed header takes several times the memory of a short
+/// header's text.
+pub const MAX_HEAD_LENGTH: usize = 16 << 10;
 /// Maximum number of hexadecimal digits in the size of a chunk.
 const MAX_CHUNK_SIZE_DIGITS: usize = 8;
 
@@ -31,6 +34,9 @@
         /// Number of bytes received.
         received: usize,
     },
+    /// The head is longer than [`MAX_HEAD_LENGTH`].
+    #[error("discovery: head of a response exceeds the limit of {MAX_HEAD_LENGTH} bytes")]
+    HeadTooLong,
     /// The head is not that of an HTTP/1.1 response, or the connection ended within it.
     #[error("discovery: response has no valid HTTP/1.1 head in its first {received} bytes")]
     MalformedHead {
@@ -166,17 +172,22 @@
 /// connection has ended, so that no more bytes will arrive.
 ///
 /// # Errors
-/// [`HttpError`] if the bytes are not a valid response, or exceed [`MAX_RESPONSE_LENGTH`].
+/// [`HttpError`] if the bytes are not a valid response, or exceed [`MAX_RESPONSE_LENGTH`] or
+/// [`MAX_HEAD_LENGTH`].
 pub fn parse_response(bytes: &[u8], ended: bool) -> Result<Option<Response>, HttpError> {
     if bytes.len() > MAX_RESPONSE_LENGTH {
         return Err(HttpError::TooLong { received: bytes.len() });
     }
-    let mut input = Partial::new(bytes);
+    let (head_bytes, after) = bytes.split_at(bytes.len().min(MAX_HEAD_LENGTH));
+    let mut input = Partial::new(head_bytes);
     let head = match parse_head(&mut input) {
         Ok(head) => head,
+        Err(ErrMode::Incomplete(_)) if !after.is_empty() => return Err(HttpError::HeadTooLong),
         Err(error) if needs_more_input(&error, ended) => return Ok(None),
         Err(_) => return Err(HttpError::MalformedHead { received: bytes.len() }),
     };
+    let body_start = head_bytes.len() - input.len();
+    let mut input = Partial::new(&bytes[body_start..]);
     let body = if head.chunked {
         read_chunked_body(&mut input, ended)?
     } else {
--- a/src/protocol/json.rs
+++ b/src/protocol/json.rs
@@ -15,6 +15,9 @@
 const MAX_COUNT: f64 = 1e6;
 /// Maximum number of characters that an error quotes of a value. Values from discovery can be megabytes long.
 const MAX_QUOTED_CHARS: usize = 64;
+/// Maximum number of values of a document, several times that of the endpoint list of the largest fleet. A
+/// parsed value takes many times the memory of a short value's text.
+pub const MAX_VALUES: usize = 1 << 17;
 const MICROS_PER_MS: f64 = 1000.0;
 
 /// Why a document could not be decoded.
@@ -26,6 +29,12 @@
         /// The parser's error.
         source: simd_json::Error,
     },
+    /// The document has more values than [`MAX_VALUES`].
+    #[error("document: {values} values exceed the limit of {MAX_VALUES}")]
+    TooManyValues {
+        /// Number of values, counted by the bytes that precede them.
+        values: usize,
+    },
     /// The value of a key is missing, has the wrong type or is out of range.
     #[error("{}: {reason}", if .key_path.is_empty() { "document" } else { .key_path.as_str() })]
     InvalidValue {
@@ -39,10 +48,28 @@
 /// Parses a JSON document.
 ///
 /// # Errors
-/// [`DecodeError::Syntax`] if the text is not JSON.
+/// [`DecodeError::TooManyValues`] if there are more than [`MAX_VALUES`], and [`DecodeError::Syntax`] if the text
+/// is not JSON.
 pub fn parse_document(text: &[u8]) -> Result<OwnedValue, DecodeError> {
-    let mut bytes = text.to_vec();
-    simd_json::to_owned_value(&mut bytes).map_err(|source| DecodeError::Syntax { source })
+    parse_document_in_place(&mut text.to_vec())
+}
+
+/// Parses a JSON document without a copy of the text, which is overwritten.
+///
+/// # Errors
+/// See [`parse_document`].
+pub fn parse_document_in_place(text: &mut [u8]) -> Result<OwnedValue, DecodeError> {
+    let values = count_values(text);
+    if values > MAX_VALUES {
+        return Err(DecodeError::TooManyValues { values });
+    }
+    simd_json::to_owned_value(text).map_err(|source| DecodeError::Syntax { source })
+}
+
+/// Returns an upper bound of the number of values: one of these bytes precedes each value but the first, or the
+/// key of the value.
+fn count_values(text: &[u8]) -> usize {
+    1 + text.iter().filter(|byte| matches!(byte, b',' | b'[' | b'{')).count()
 }
 
 /// Value at one key path of a document, which may be absent. A `null` counts as absent.
--- a/src/transport/discovery_watch/connection.rs
+++ b/src/transport/discovery_watch/connection.rs
@@ -68,7 +68,7 @@
     /// connection of a cancelled call must be closed.
     async fn call(&mut self, since: Option<ChangesSince>) -> Result<EndpointListUpdate, DiscoveryError> {
         let was_open = self.open.is_some();
-        let answer = match self.exchange(since).await {
+        let mut answer = match self.exchange(since).await {
             // Discovery may have closed the reused connection between two calls, so an error is retried once
             // on a new connection. An answer is never retried, whatever its status, because a retry would
             // double the load of an overloaded discovery.
@@ -81,7 +81,7 @@
         if answer.status != STATUS_OK {
             return Err(DiscoveryError::Status { status: answer.status });
         }
-        let update = http::parse_endpoint_list(&answer.body).map_err(DiscoveryError::InvalidList)?;
+        let update = http::parse_endpoint_list(&mut answer.body).map_err(DiscoveryError::InvalidList)?;
         if !update.is_snapshot && since.is_none() {
             return Err(DiscoveryError::UnexpectedDelta { generation: update.generation });
         }
@@ -121,7 +121,8 @@
             let ended = self.stream.read_buf(&mut self.received).await? == 0;
             let answer = http::parse_response(&self.received, ended).map_err(DiscoveryError::Malformed)?;
             if let Some(answer) = answer {
-                self.received.drain(..answer.consumed);
+                // The rest is moved to a buffer of its size: a long answer would otherwise keep its memory.
+                self.received = self.received.split_off(answer.consumed);
                 return Ok(answer);
             }
             if ended {
--- a/tests/daemon/floods/mod.rs
+++ b/tests/daemon/floods/mod.rs
@@ -1,6 +1,7 @@
 //! Servers and clients that send at full speed for as long as the connection is open. The daemon must serve
 //! all other connections in time.
 
+mod discovery;
 mod fairness;
 mod memory;
 
@@ -54,6 +55,7 @@
     /// Checks the largest amount of memory that the daemon has used so far.
     fn assert_kept(self, daemon: &Daemon) {
         let (peak_kb, limit_kb) = (daemon.peak_memory_kb(), self.memory_mb << 10);
+
         assert!(peak_kb <= limit_kb, "used {peak_kb} kB, the limit is {limit_kb} kB");
     }
 }
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -170,10 +170,10 @@
         };
         let received_length = cut.index(bytes.len());
         prop_assert_eq!(http::parse_response(&bytes[..received_length], false).unwrap(), None);
-        let response = http::parse_response(&bytes, false).unwrap().unwrap();
+        let mut response = http::parse_response(&bytes, false).unwrap().unwrap();
         prop_assert_eq!((response.status, response.consumed), (200, bytes.len()));
         prop_assert!(!response.closes_connection);
-        let update = http::parse_endpoint_list(&response.body).unwrap();
+        let update = http::parse_endpoint_list(&mut response.body).unwrap();
         prop_assert_eq!((update.generation, update.is_snapshot, update.endpoints.len()), (41, true, 1));
         prop_assert_eq!(update.endpoints[0].lifecycle, Lifecycle::Draining);
         prop_assert_eq!(update.endpoints[0].started_at.unwrap().0, 1_700_000_000_123_000);
