Let the queues of a connection grow by the bytes that are added to them

Cause: a connection's queues doubled their memory when they grew and never released it, and the relay of lines kept the memory of the longest read for an incomplete line.

Change: the queues grow by the bytes that are added and are released when they are empty; the relay moves an incomplete line to memory of its size.

--- a/src/protocol/lines.rs
+++ b/src/protocol/lines.rs
@@ -57,7 +57,9 @@
     /// Removes and returns all complete lines.
     fn take_complete_lines(&mut self) -> Vec<u8> {
         let end = self.bytes.iter().rposition(|&b| b == b'\n').map_or(0, |end| end + 1);
-        self.bytes.drain(..end).collect()
+        // The incomplete line is kept in memory of its size.
+        let incomplete_line = self.bytes.split_off(end);
+        std::mem::replace(&mut self.bytes, incomplete_line)
     }
 
     /// Drops the buffered bytes of the first line. Returns whether that line was complete.
--- a/src/transport/connection/socket_end.rs
+++ b/src/transport/connection/socket_end.rs
@@ -7,6 +7,9 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+/// Maximum number of bytes that a queue without pending bytes keeps allocated.
+const MAX_IDLE_CAPACITY: usize = 1 << 10;
+
 /// State of a socket's read side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadSide {
@@ -60,7 +63,10 @@
         Some(std::mem::take(recorded))
     }
 
+    /// Queues bytes to be written. The queue grows by their number only: the usual growth by a factor would
+    /// take twice the memory that the limits of the process provide for.
     pub(super) fn push(&mut self, bytes: &[u8]) {
+        self.pending.reserve_exact(bytes.len());
         self.pending.extend_from_slice(bytes);
     }
 
@@ -87,6 +93,7 @@
                 Err(error) => return Err(error),
             }
         }
+        self.pending.shrink_to(MAX_IDLE_CAPACITY);
         if self.write_side == WriteSide::Closing {
             self.write_side = WriteSide::ShutDown;
             return SockRef::from(&self.stream).shutdown(Shutdown::Write);
--- a/tests/daemon/floods/mod.rs
+++ b/tests/daemon/floods/mod.rs
@@ -1,6 +1,7 @@
 //! Servers and clients that send at full speed for as long as the connection is open. The daemon must serve
 //! all other connections in time.
 
+mod crowd;
 mod discovery;
 mod fairness;
 mod memory;
