Refuse an id whose request was forwarded and whose client has left

Cause: a process knew the ids of open connections only, and forgot an id when its client left. The server may have run the request, or may yet run it.

A successor gets them with the open ids. The comment on the buffer of the connection to discovery is reworded.

--- a/src/routing/admitted_connections.rs
+++ b/src/routing/admitted_connections.rs
@@ -1,12 +1,15 @@
 //! The admitted connections of one pool: their number, and the ids that their clients chose for them.
 //!
-//! No two open connections may have the same id. During a hot restart, this includes connections that the
+//! No two open connections may have the same id. Neither may a connection have the id of a request whose
+//! client has left, and which a server may have run ([`super::unanswered_ids`]). During a hot restart, this includes connections that the
 //! predecessor still serves. Their ids are kept in a separate set, each until its connection is transferred
 //! or the predecessor ends.
 
 use std::collections::BTreeSet;
 
+use super::unanswered_ids::UnansweredIds;
 use super::ConnectionRequest;
+use crate::Time;
 
 /// The number of a pool's admitted connections, and the client-chosen ids in use.
 #[derive(Default)]
@@ -14,6 +17,7 @@
     count: usize,
     client_ids: BTreeSet<String>,
     client_ids_at_predecessor: BTreeSet<String>,
+    unanswered_ids: UnansweredIds,
 }
 
 impl AdmittedConnections {
@@ -21,11 +25,23 @@
         self.count
     }
 
-    /// Returns whether an open connection has the id of this request.
-    pub(super) fn has_id_of(&self, request: &ConnectionRequest) -> bool {
-        let is_open =
-            |id: &String| self.client_ids.contains(id) || self.client_ids_at_predecessor.contains(id);
-        request.id.as_ref().is_some_and(is_open)
+    /// Returns whether an open connection, or a request without an answer whose client has left, has the id of
+    /// this request.
+    pub(super) fn has_id_of(&mut self, now: Time, request: &ConnectionRequest) -> bool {
+        self.unanswered_ids.drop_expired(now);
+        let is_known = |id: &String| {
+            self.client_ids.contains(id)
+                || self.client_ids_at_predecessor.contains(id)
+                || self.unanswered_ids.contains(id)
+        };
+        request.id.as_ref().is_some_and(is_known)
+    }
+
+    /// Records that the client of a forwarded request has left without an answer.
+    pub(super) fn record_unanswered(&mut self, now: Time, request: &ConnectionRequest) {
+        if let Some(id) = &request.id {
+            self.unanswered_ids.record(now, id);
+        }
     }
 
     /// Adds a connection that this process has admitted.
@@ -50,9 +66,9 @@
         }
     }
 
-    /// Returns the ids of this process's own connections.
+    /// Returns the ids that no further request at this process may have.
     pub(super) fn client_ids(&self) -> Vec<String> {
-        self.client_ids.iter().cloned().collect()
+        self.client_ids.iter().chain(self.unanswered_ids.iter()).cloned().collect()
     }
 
     /// Adds the ids of connections that are open at the predecessor.
--- a/src/routing/client.rs
+++ b/src/routing/client.rs
@@ -11,9 +11,9 @@
 //!    one in the replicated map if there is one, and otherwise the configured one. At either limit, the
 //!    request is rejected with half of the longest Retry-After.
 //! 3. Names: the request fails if its class is not configured, if tenants are configured and its tenant is
-//!    not among them, or if an open connection has the same id. The failure is not logged. It is counted in
-//!    the metrics only if the class is configured. The request is not rejected, because a rejection invites a
-//!    retry, and the retry could not succeed.
+//!    not among them, if an open connection has the same id, or if a forwarded request whose client has left had
+//!    it. The failure is not logged. It is counted in the metrics only if the class is configured. The request
+//!    is not rejected, because a rejection invites a retry, and the retry could not succeed.
 //!
 //! An admitted request is passed to the pool's balancer, which chooses a server for it, rejects it or fails
 //! it (`src/policy/`). If the request belongs to a connection that was established before this process
@@ -76,7 +76,7 @@
         if let Some(rejection) = self.check_admission(id, pool_id) {
             return self.answer_and_remove(now, id, rejection);
         }
-        let Some(profile) = self.profile_request(id, pool_id, &request) else {
+        let Some(profile) = self.profile_request(now, id, pool_id, &request) else {
             return self.answer_and_remove(now, id, Answer::Failed);
         };
         self.admit(now, id, pool_id, &request);
@@ -123,21 +123,23 @@
 
     /// Looks up the names in a request. Returns `None` if the class or the tenant is not configured, because
     /// servers would reject the request. Also returns `None` if an open connection has the same id, because
-    /// clients and servers distinguish connections by their ids.
+    /// clients and servers distinguish connections by their ids, or if a server may have run a request with
+    /// this id for a client that has left.
     fn profile_request(
-        &self,
+        &mut self,
+        now: Time,
         id: ConnectionId,
         pool_id: PoolId,
         request: &ConnectionRequest,
     ) -> Option<RequestProfile> {
-        let pool = &self.pools[pool_id.0];
+        let pool = &mut self.pools[pool_id.0];
         let class = self.connections.get(id).and_then(|connection| connection.class)?;
         let named_tenant = request.tenant.as_deref();
         // A tenant that is no longer configured has an empty name, which must not be matched.
         let tenant =
             named_tenant.filter(|name| !name.is_empty()).and_then(|name| pool.config.tenant_id(name));
         let is_unknown_tenant = named_tenant.is_some() && tenant.is_none() && !pool.config.tenants.is_empty();
-        if is_unknown_tenant || pool.admitted.has_id_of(request) {
+        if is_unknown_tenant || pool.admitted.has_id_of(now, request) {
             return None;
         }
         Some(RequestProfile { class, tenant, group: request.group.map(GroupId), load: request.load })
@@ -200,6 +202,9 @@
     pub(super) fn on_client_disconnected(&mut self, now: Time, id: ConnectionId) {
         let Some(connection) = self.connections.get(id) else { return };
         let pool = connection.pool;
+        if connection.may_have_run_unanswered() {
+            self.pools[pool.0].admitted.record_unanswered(now, &connection.request);
+        }
         if connection.phase == Phase::Connecting {
             self.dispatch(now, pool, Event::ClientLeft { request: request_id(id) });
         }
--- a/src/routing/connection_table.rs
+++ b/src/routing/connection_table.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Returns whether a server may have run the request, and the client has no answer yet. An earlier attempt
+    /// may have run as well.
+    pub(super) fn may_have_run_unanswered(&self) -> bool {
+        let was_forwarded = self.attempts > 1 || self.attempt().is_some_and(|attempt| attempt.is_forwarded());
+        was_forwarded && self.phase == Phase::Connecting
+    }
+
     /// Returns the attempt that is in flight or accepted.
     pub(super) fn attempt(&self) -> Option<Attempt> {
         self.attempt
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -94,6 +94,7 @@
 mod state;
 pub mod store;
 mod timers;
+mod unanswered_ids;
 
 pub use admin_call::{AdminCall, AdminRejection, AdminResponse};
 pub use connection_request::ConnectionRequest;
--- a/src/transport/discovery_watch/connection.rs
+++ b/src/transport/discovery_watch/connection.rs
@@ -121,7 +121,7 @@
             let ended = self.stream.read_buf(&mut self.received).await? == 0;
             let answer = http::parse_response(&self.received, ended).map_err(DiscoveryError::Malformed)?;
             if let Some(answer) = answer {
-                // The rest is moved to a buffer of its size: a long answer would otherwise keep its memory.
+                // The remaining bytes are moved to a buffer of their size, so that a long answer releases its memory.
                 self.received = self.received.split_off(answer.consumed);
                 return Ok(answer);
             }
--- a/tests/daemon/races/mod.rs
+++ b/tests/daemon/races/mod.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod hot_restart;
 mod relay;
+mod request_ids;
 mod shutdown;
 
 use std::net::SocketAddr;
