Tell the peer process of a hot restart the ids of admitted requests

Cause: the successor got the open ids once, with the exported state. Ids that the predecessor admitted afterwards were unknown to the successor, and those of the successor to the predecessor.

Change: each process tells the other one the ids that it admits, and keeps those of the other one for 30 s with the ids of clients that have left (src/routing/recent_ids.rs). The predecessor announces the messages by a socket name without a descriptor, which earlier versions ignore; the successor confirms them before it serves. Without that, nothing is sent. The channel to the predecessor is opened before the fronts accept.

Result: does_not_forward_an_id_that_the_other_process_of_a_hot_restart_serves failed before (the server received the id a second time) and passes.

--- a/src/protocol/hot_restart/decode.rs
+++ b/src/protocol/hot_restart/decode.rs
@@ -157,6 +157,8 @@
         message_tag::SERVING => ().value(HandoverMessage::Serving),
         message_tag::ESTABLISHED_CONNECTION => parse_connection,
         message_tag::SHARE_EXCLUSION => parse_share,
+        message_tag::SHARES_REQUEST_IDS => ().value(HandoverMessage::SharesRequestIds),
+        message_tag::REQUEST_ADMITTED => (parse_text, parse_text).map(|(pool, id)| HandoverMessage::RequestAdmitted { pool, id }),
         message_tag::EXCLUSION_ACKNOWLEDGED => be_u64.map(|number| HandoverMessage::ExclusionAcknowledged { number }),
         _ => fail,
     }
--- a/src/protocol/hot_restart/encode.rs
+++ b/src/protocol/hot_restart/encode.rs
@@ -161,6 +161,10 @@
             HandoverMessage::ExclusionAcknowledged { number } => {
                 self.byte(message_tag::EXCLUSION_ACKNOWLEDGED).u64(*number)
             }
+            HandoverMessage::SharesRequestIds => self.byte(message_tag::SHARES_REQUEST_IDS),
+            HandoverMessage::RequestAdmitted { pool, id } => {
+                self.byte(message_tag::REQUEST_ADMITTED).text(pool).text(id)
+            }
         }
     }
 }
--- a/src/protocol/hot_restart/mod.rs
+++ b/src/protocol/hot_restart/mod.rs
@@ -19,6 +19,9 @@
 /// Maximum number of parts of a state. Without this limit, a process that sends parts without end would
 /// exhaust the memory of its successor.
 pub const MAX_PARTS: usize = 200_000;
+/// Name of a socket without a descriptor, by which a predecessor announces that it accepts
+/// [`HandoverMessage::SharesRequestIds`] and [`HandoverMessage::RequestAdmitted`].
+pub const REQUEST_IDS_FEATURE: &str = "request-ids";
 /// First bytes of each message. Messages of other versions of the protocol begin with other bytes.
 const MAGIC: &[u8] = b"SGH1";
 
@@ -32,6 +35,8 @@
     pub(super) const ESTABLISHED_CONNECTION: u8 = b'C';
     pub(super) const SHARE_EXCLUSION: u8 = b'B';
     pub(super) const EXCLUSION_ACKNOWLEDGED: u8 = b'A';
+    pub(super) const SHARES_REQUEST_IDS: u8 = b'Q';
+    pub(super) const REQUEST_ADMITTED: u8 = b'O';
 }
 
 /// Kind of a part, the first byte of the part.
@@ -95,6 +100,17 @@
         /// Number of the admin call.
         number: u64,
     },
+    /// The successor accepts and sends [`HandoverMessage::RequestAdmitted`]. It sends this message before
+    /// [`HandoverMessage::Serving`], if the predecessor has sent a [`HandoverMessage::Socket`] with the name
+    /// [`REQUEST_IDS_FEATURE`]. Processes of earlier versions ignore such a socket, and reject the message.
+    SharesRequestIds,
+    /// The process has admitted a request since the export of the state.
+    RequestAdmitted {
+        /// Name of the pool.
+        pool: String,
+        /// Id in the client's request.
+        id: String,
+    },
 }
 
 /// Part of the exported state.
--- a/src/routing/admitted_connections.rs
+++ b/src/routing/admitted_connections.rs
@@ -1,13 +1,14 @@
 //! The admitted connections of one pool: their number, and the ids that their clients chose for them.
 //!
 //! No two open connections may have the same id. Neither may a connection have the id of a request whose
-//! client has left, and which a server may have run ([`super::unanswered_ids`]). During a hot restart, this includes connections that the
+//! client has left, and which a server may have run, or of a request that the peer process has admitted
+//! ([`super::recent_ids`]). During a hot restart, this includes connections that the
 //! predecessor still serves. Their ids are kept in a separate set, each until its connection is transferred
 //! or the predecessor ends.
 
 use std::collections::BTreeSet;
 
-use super::unanswered_ids::UnansweredIds;
+use super::recent_ids::RecentIds;
 use super::ConnectionRequest;
 use crate::Time;
 
@@ -17,7 +18,7 @@
     count: usize,
     client_ids: BTreeSet<String>,
     client_ids_at_predecessor: BTreeSet<String>,
-    unanswered_ids: UnansweredIds,
+    recent_ids: RecentIds,
 }
 
 impl AdmittedConnections {
@@ -25,14 +26,14 @@
         self.count
     }
 
-    /// Returns whether an open connection, or a request without an answer whose client has left, has the id of
-    /// this request.
+    /// Returns whether this request has the id of another one: of an open connection, of a request without an
+    /// answer whose client has left, or of a request at the peer process.
     pub(super) fn has_id_of(&mut self, now: Time, request: &ConnectionRequest) -> bool {
-        self.unanswered_ids.drop_expired(now);
+        self.recent_ids.drop_expired(now);
         let is_known = |id: &String| {
             self.client_ids.contains(id)
                 || self.client_ids_at_predecessor.contains(id)
-                || self.unanswered_ids.contains(id)
+                || self.recent_ids.contains(id)
         };
         request.id.as_ref().is_some_and(is_known)
     }
@@ -40,10 +41,16 @@
     /// Records that the client of a forwarded request has left without an answer.
     pub(super) fn record_unanswered(&mut self, now: Time, request: &ConnectionRequest) {
         if let Some(id) = &request.id {
-            self.unanswered_ids.record(now, id);
+            self.recent_ids.record(now, id);
         }
     }
 
+    /// Records that the peer process has admitted a request with this id.
+    pub(super) fn record_at_peer_process(&mut self, now: Time, id: &str) {
+        self.recent_ids.drop_expired(now);
+        self.recent_ids.record(now, id);
+    }
+
     /// Adds a connection that this process has admitted.
     pub(super) fn add(&mut self, request: &ConnectionRequest) {
         self.count += 1;
@@ -68,7 +75,7 @@
 
     /// Returns the ids that no further request at this process may have.
     pub(super) fn client_ids(&self) -> Vec<String> {
-        self.client_ids.iter().chain(self.unanswered_ids.iter()).cloned().collect()
+        self.client_ids.iter().chain(self.recent_ids.iter()).cloned().collect()
     }
 
     /// Adds the ids of connections that are open at the predecessor.
--- a/src/routing/client.rs
+++ b/src/routing/client.rs
@@ -149,6 +149,7 @@
     fn admit(&mut self, now: Time, id: ConnectionId, pool_id: PoolId, request: &ConnectionRequest) {
         self.admission.remove_pending(id);
         self.evict_pending_connections(now);
+        self.share_request_id(pool_id, request);
         let pool = &mut self.pools[pool_id.0];
         pool.admitted.add(request);
         let ConnectionRequest { key, reconnecting, .. } = *request;
--- a/src/routing/effect.rs
+++ b/src/routing/effect.rs
@@ -101,6 +101,13 @@
         /// The state with which the successor continues it.
         established: TransferredConnection,
     },
+    /// Tell the peer process of a hot restart that this process has admitted a request.
+    ShareRequestId {
+        /// Name of the pool.
+        pool: &'static str,
+        /// Id in the client's request.
+        id: String,
+    },
     /// Send an exclusion or readmission to the peer process.
     ShareExclusion {
         /// The admin call whose reply waits for the acknowledgement.
--- a/src/routing/hot_restart.rs
+++ b/src/routing/hot_restart.rs
@@ -25,8 +25,8 @@
 use super::dispatch::request_id;
 use super::hot_restart_state::PeerProcess;
 use super::{
-    server_id, AdminCallId, AdminResponse, ConnectionId, Effect, HandoverState, LogEvent, PoolId, State,
-    TransferredConnection,
+    server_id, AdminCallId, AdminResponse, ConnectionId, ConnectionRequest, Effect, HandoverState, LogEvent,
+    PoolId, State, TransferredConnection,
 };
 use crate::{Event, GroupId, Measurement, Outcome, ServerId, Time};
 
@@ -216,6 +216,22 @@
         self.effects.push(Effect::ShareExclusion { admin_call, server, excluded });
     }
 
+    /// Tells the peer process that this process has admitted a request, so that the peer process does not admit
+    /// another one with the same id. Requests that both processes admit at the same moment are not detected.
+    pub(super) fn share_request_id(&mut self, pool_id: PoolId, request: &ConnectionRequest) {
+        if let Some(id) = request.id.clone().filter(|_| self.hot_restart.has_peer_process()) {
+            let pool = self.pools[pool_id.0].config.name;
+            self.effects.push(Effect::ShareRequestId { pool, id });
+        }
+    }
+
+    /// Records that the peer process has admitted a request.
+    pub(super) fn on_request_id_shared(&mut self, now: Time, pool: &str, id: &str) {
+        if let Some(pool) = self.pools.iter_mut().find(|known| known.config.name == pool) {
+            pool.admitted.record_at_peer_process(now, id);
+        }
+    }
+
     /// Replies to an admin client after the peer process has acknowledged its exclusion, or after the wait
     /// for the acknowledgement has ended.
     pub(super) fn on_exclusion_acknowledged(&mut self, admin_call: AdminCallId) {
--- a/src/routing/input.rs
+++ b/src/routing/input.rs
@@ -186,6 +186,13 @@
         /// True if the server was excluded, false if it was readmitted.
         excluded: bool,
     },
+    /// The peer process of a hot restart has admitted a request.
+    RequestIdShared {
+        /// Name of the pool.
+        pool: String,
+        /// Id in the client's request.
+        id: String,
+    },
     /// The peer process has received an exclusion that was shared with it. It may have failed to apply it.
     ExclusionAcknowledged {
         /// The admin call whose reply waits for the acknowledgement.
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -84,6 +84,7 @@
 mod pool_exclusions;
 mod probe_records;
 mod probes;
+mod recent_ids;
 mod reducer;
 mod repair_position;
 mod replica;
@@ -94,7 +95,6 @@
 mod state;
 pub mod store;
 mod timers;
-mod unanswered_ids;
 
 pub use admin_call::{AdminCall, AdminRejection, AdminResponse};
 pub use connection_request::ConnectionRequest;
--- a/src/routing/unanswered_ids.rs
+++ b/src/routing/recent_ids.rs
@@ -1,14 +1,19 @@
-//! Ids of requests whose clients have left without an answer, after the request was forwarded to a server.
+//! Ids of requests that a server may have received, and that this process does not count among its open
+//! connections:
 //!
-//! The server may have run such a request, or may yet run it. A further request with the same id could run a
-//! second time. The ids are therefore kept for [`RETENTION`], and the oldest ones are dropped beyond
-//! [`MAX_BYTES`].
+//! - requests whose clients have left without an answer, after the request was forwarded: a server may have
+//!   run such a request, or may yet run it;
+//! - requests that the peer process of a hot restart has admitted since the export of the state.
+//!
+//! A further request with the same id could run a second time. The ids are therefore kept for [`RETENTION`],
+//! and the oldest ones are dropped beyond [`MAX_BYTES`].
 
 use std::collections::{BTreeSet, VecDeque};
 
 use crate::{Micros, Time};
 
-/// Time for which an id is kept, longer than a server works on a request of a client that has left.
+/// Time for which an id is kept. It is longer than a server works on a request of a client that has left, and
+/// than a connection without a request stays open at the predecessor.
 const RETENTION: Micros = Micros::from_secs(30);
 /// Maximum length of all ids together, in bytes. An id takes some tens of bytes.
 const MAX_BYTES: usize = 256 << 10;
@@ -21,14 +26,14 @@
 
 /// The ids, the oldest first.
 #[derive(Default)]
-pub(super) struct UnansweredIds {
+pub(super) struct RecentIds {
     by_age: VecDeque<KeptId>,
     ids: BTreeSet<String>,
     bytes: usize,
 }
 
-impl UnansweredIds {
-    /// Records that the client of a request has left at this time.
+impl RecentIds {
+    /// Keeps an id from now on.
     pub(super) fn record(&mut self, now: Time, id: &str) {
         if self.ids.insert(id.to_owned()) {
             self.bytes += id.len();
--- a/src/routing/reducer.rs
+++ b/src/routing/reducer.rs
@@ -63,6 +63,7 @@
                 self.on_connection_received(now, connection, pool, established);
             }
             Input::PeerProcessLost => self.on_peer_process_lost(now),
+            Input::RequestIdShared { pool, id } => self.on_request_id_shared(now, &pool, &id),
             Input::ExclusionShared { server, excluded } => self.on_exclusion_shared(now, &server, excluded),
             Input::ExclusionAcknowledged { admin_call } => self.on_exclusion_acknowledged(admin_call),
             Input::Listening => self.on_listening(),
--- a/src/transport/commands.rs
+++ b/src/transport/commands.rs
@@ -63,6 +63,13 @@
         /// True if the server was excluded, false if it was readmitted.
         excluded: bool,
     },
+    /// This process has admitted a request.
+    ShareRequestId {
+        /// Name of the pool.
+        pool: &'static str,
+        /// Id in the client's request.
+        id: String,
+    },
     /// Transfers an established connection to the successor.
     TransferConnection {
         /// Id of the connection in this process.
--- a/src/transport/daemon/start.rs
+++ b/src/transport/daemon/start.rs
@@ -97,7 +97,7 @@
         reducer.feed(Input::Listening);
         let context = self.hot_restart_context(store);
         if let Some(received) = received {
-            tokio::task::spawn_local(hot_restart::run_as_successor(context.clone(), received));
+            hot_restart::join_predecessor(context.clone(), received);
         }
         hot_restart::offer_state(context, &self.hot_restart_socket);
         tokio::task::spawn_local(reducer.run_timer());
--- a/src/transport/driver.rs
+++ b/src/transport/driver.rs
@@ -117,6 +117,9 @@
                 let message = PeerProcessMessage::TransferConnection { connection, pool, established };
                 self.peer_process.send(message);
             }
+            Effect::ShareRequestId { pool, id } => {
+                self.peer_process.send(PeerProcessMessage::ShareRequestId { pool, id });
+            }
             Effect::ShareExclusion { admin_call, server, excluded } => {
                 let message = PeerProcessMessage::ShareExclusion { admin_call, server, excluded };
                 self.peer_process.send(message);
--- a/src/transport/hot_restart/mod.rs
+++ b/src/transport/hot_restart/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! The successor connects to a socket in the temporary directory ([`socket_path`]). It imports the state and
 //! the listening sockets ([`import_state`]), starts to serve, and notifies the predecessor
-//! ([`run_as_successor`]).
+//! ([`join_predecessor`]).
 //!
 //! The predecessor ([`offer_state`]) stops accepting connections when its state is requested. From then on,
 //! new clients wait in the listener's queue. The predecessor continues to serve the connections that it has
@@ -27,7 +27,7 @@
 use super::commands::PeerProcessMessage;
 use super::log_event::{log_event, LogEvent};
 use crate::program::config::Config;
-use crate::protocol::hot_restart::{self, HandoverMessage, MAX_PARTS};
+use crate::protocol::hot_restart::{self, HandoverMessage, MAX_PARTS, REQUEST_IDS_FEATURE};
 use crate::routing::{AdminCallId, HandoverState, Input};
 use context::NamedSocket;
 use error::LinkError;
@@ -57,10 +57,20 @@
     std::env::temp_dir().join(format!("sagemount-{:08x}.sock", crc32fast::hash(fronts.as_bytes())))
 }
 
+/// Whether both processes accept messages about the requests that the other one has admitted. Processes of
+/// earlier versions do not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum RequestIdSharing {
+    #[default]
+    Unsupported,
+    Supported,
+}
+
 /// The state and sockets that the predecessor exported, and the link to it.
 pub(super) struct ReceivedState {
     link: Link,
     sockets: HashMap<String, OwnedFd>,
+    request_id_sharing: RequestIdSharing,
     /// Exported state of the predecessor's reducer.
     pub state: HandoverState,
 }
@@ -111,13 +121,20 @@
     link.send(&HandoverMessage::RequestState, &[]).await?;
     let mut state = HandoverState::default();
     let mut named_sockets = HashMap::new();
+    let mut request_id_sharing = RequestIdSharing::default();
     for received_messages in 0..MAX_PARTS {
         let Some(ReceivedMessage { message, sockets }) = link.receive().await? else {
             return if received_messages == 0 { Ok(None) } else { Err(LinkError::Closed) };
         };
         match message {
-            HandoverMessage::Done => return Ok(Some(ReceivedState { link, sockets: named_sockets, state })),
+            HandoverMessage::Done => {
+                let sockets = named_sockets;
+                return Ok(Some(ReceivedState { link, sockets, request_id_sharing, state }));
+            }
             HandoverMessage::StatePart(part) => hot_restart::add_part(&mut state, part),
+            HandoverMessage::Socket(name) if name == REQUEST_IDS_FEATURE => {
+                request_id_sharing = RequestIdSharing::Supported;
+            }
             HandoverMessage::Socket(name) => {
                 named_sockets.extend(sockets.into_iter().map(|socket| (name.clone(), socket)));
             }
@@ -134,15 +151,32 @@
     context.reducer().feed(Input::PeerProcessLost);
 }
 
-/// Notifies the predecessor that this process serves, and receives the connections that it transfers.
-pub(super) async fn run_as_successor(context: HotRestartContext, received: ReceivedState) {
+/// Starts to exchange messages with the predecessor. Messages of the reducer are sent from now on.
+pub(super) fn join_predecessor(context: HotRestartContext, received: ReceivedState) {
     let outgoing = context.peer_process.connect();
-    if received.link.send(&HandoverMessage::Serving, &[]).await.is_ok() {
-        exchange_messages(&context, &received.link, outgoing).await;
+    tokio::task::spawn_local(run_as_successor(context, received, outgoing));
+}
+
+/// Notifies the predecessor that this process serves, and receives the connections that it transfers.
+async fn run_as_successor(
+    context: HotRestartContext,
+    received: ReceivedState,
+    outgoing: mpsc::UnboundedReceiver<PeerProcessMessage>,
+) {
+    let ReceivedState { link, request_id_sharing, .. } = received;
+    if notify_predecessor(&link, request_id_sharing).await.is_ok() {
+        exchange_messages(&context, &link, outgoing, request_id_sharing).await;
     }
     disconnect_peer_process(&context);
 }
 
+async fn notify_predecessor(link: &Link, request_id_sharing: RequestIdSharing) -> Result<(), LinkError> {
+    if request_id_sharing == RequestIdSharing::Supported {
+        link.send(&HandoverMessage::SharesRequestIds, &[]).await?;
+    }
+    link.send(&HandoverMessage::Serving, &[]).await
+}
+
 /// Starts to offer this process's state to successors. A failure to listen is logged.
 pub(super) fn offer_state(context: HotRestartContext, path: &Path) {
     match link::listen(path) {
@@ -172,9 +206,9 @@
     let outgoing = context.peer_process.connect();
     context.reducer().feed(Input::SuccessorStarted);
     match timeout(SUCCESSOR_READY_TIMEOUT, export_state(&context, &link)).await {
-        Ok(Ok(())) => {
+        Ok(Ok(request_id_sharing)) => {
             context.reducer().feed(Input::SuccessorReady);
-            exchange_messages(&context, &link, outgoing).await;
+            exchange_messages(&context, &link, outgoing, request_id_sharing).await;
         }
         Ok(Err(error)) => log_event!(LogEvent::ExportFailed { error: &error }),
         Err(_) => log_event!(LogEvent::ExportTimedOut),
@@ -186,8 +220,10 @@
     }
 }
 
-/// Sends the sockets and the state, and waits until the successor serves.
-async fn export_state(context: &HotRestartContext, link: &Link) -> Result<(), LinkError> {
+/// Sends the sockets and the state, and waits until the successor serves. Returns whether the successor accepts
+/// messages about admitted requests.
+async fn export_state(context: &HotRestartContext, link: &Link) -> Result<RequestIdSharing, LinkError> {
+    link.send(&HandoverMessage::Socket(REQUEST_IDS_FEATURE.to_owned()), &[]).await?;
     for NamedSocket { name, socket } in context.clone_sockets()? {
         link.send(&HandoverMessage::Socket(name), &[socket.as_fd()]).await?;
     }
@@ -199,10 +235,14 @@
         }
     }
     link.send(&HandoverMessage::Done, &[]).await?;
-    match link.receive().await? {
-        Some(ReceivedMessage { message: HandoverMessage::Serving, .. }) => Ok(()),
-        Some(_) => Err(LinkError::UnexpectedMessage),
-        None => Err(LinkError::Closed),
+    let mut request_id_sharing = RequestIdSharing::default();
+    loop {
+        match link.receive().await?.map(|received| received.message) {
+            Some(HandoverMessage::SharesRequestIds) => request_id_sharing = RequestIdSharing::Supported,
+            Some(HandoverMessage::Serving) => return Ok(request_id_sharing),
+            Some(_) => return Err(LinkError::UnexpectedMessage),
+            None => return Err(LinkError::Closed),
+        }
     }
 }
 
@@ -211,6 +251,7 @@
     context: &HotRestartContext,
     link: &Link,
     mut outgoing: mpsc::UnboundedReceiver<PeerProcessMessage>,
+    request_id_sharing: RequestIdSharing,
 ) {
     loop {
         let result = tokio::select! {
@@ -219,7 +260,9 @@
                 Ok(None) => return,
                 Err(error) => Err(error),
             },
-            Some(message) = outgoing.recv() => send_message(context, link, message).await,
+            Some(message) = outgoing.recv() => {
+                send_message(context, link, message, request_id_sharing).await
+            }
         };
         if let Err(error) = result {
             log_event!(LogEvent::PeerProcessFailed { error: &error });
@@ -242,6 +285,10 @@
             context.reducer().feed(Input::ExclusionAcknowledged { admin_call: AdminCallId(number) });
             Ok(())
         }
+        HandoverMessage::RequestAdmitted { pool, id } => {
+            context.reducer().feed(Input::RequestIdShared { pool, id });
+            Ok(())
+        }
         HandoverMessage::EstablishedConnection { front, established, state } => {
             adopt_connection(context, received.sockets, &front, &state, established)
         }
@@ -253,8 +300,15 @@
     context: &HotRestartContext,
     link: &Link,
     message: PeerProcessMessage,
+    request_id_sharing: RequestIdSharing,
 ) -> Result<(), LinkError> {
     match message {
+        PeerProcessMessage::ShareRequestId { .. } if request_id_sharing == RequestIdSharing::Unsupported => {
+            Ok(())
+        }
+        PeerProcessMessage::ShareRequestId { pool, id } => {
+            link.send(&HandoverMessage::RequestAdmitted { pool: pool.to_owned(), id }, &[]).await
+        }
         PeerProcessMessage::ShareExclusion { admin_call, server, excluded } => {
             let message = HandoverMessage::ShareExclusion { number: admin_call.0, server, excluded };
             link.send(&message, &[]).await
--- a/tests/daemon/races/request_ids.rs
+++ b/tests/daemon/races/request_ids.rs
@@ -1,5 +1,7 @@
 //! Requests with the id of another request. A server must not receive an id twice.
 
+use std::net::Shutdown;
+
 use super::{wait_until_idle, TestSettings};
 use crate::fake_servers::{reset_connection, wait_until, Client, Daemon, ManualServer};
 
@@ -53,3 +55,35 @@
         accept_request(&server, "9b20");
     }
 }
+
+/// A client that connected before an upgrade sends an id that is open at the successor, and a client of the
+/// successor sends one that the predecessor has admitted since the upgrade. Each process must know the ids that
+/// the other one admits, also after their clients have left.
+#[test]
+fn does_not_forward_an_id_that_the_other_process_of_a_hot_restart_serves() {
+    let server = ManualServer::start();
+    let (daemon, _discovery) = TestSettings::default().start(&[&server]);
+    let mut connected_before = [(); 3].map(|()| Client::connect(&daemon.platform_address));
+    for client in &mut connected_before {
+        client.send_line("PING");
+        assert_eq!(client.read_line(), "PONG");
+    }
+    let successor = daemon.start_successor();
+    wait_until("the successor serves", || daemon.admin_call("readyz").starts_with("NO another process"));
+
+    let _client = open_with_id(&successor, "9b1f");
+    let _server_end = accept_request(&server, "9b1f");
+    send_request(&mut connected_before[0], "9b1f");
+    expect_error(&mut connected_before[0], &server);
+
+    send_request(&mut connected_before[1], "9b20");
+    let _server_end = accept_request(&server, "9b20");
+    expect_error(&mut open_with_id(&successor, "9b20"), &server);
+
+    let [_, _, leaving] = &mut connected_before;
+    send_request(leaving, "9b21");
+    let _server_end = accept_request(&server, "9b21");
+    leaving.stream().shutdown(Shutdown::Both).expect("the connection is closed");
+    wait_until("no other request is outstanding", || daemon.metric("outstanding") == 1);
+    expect_error(&mut open_with_id(&successor, "9b21"), &server);
+}
--- a/tests/reducer/hot_restart/messages.rs
+++ b/tests/reducer/hot_restart/messages.rs
@@ -136,9 +136,13 @@
         StatePart::Endpoint { pool: "irc".to_owned(), endpoint, learned_state: Some(learned) };
     let share_exclusion =
         HandoverMessage::ShareExclusion { number: 5, server: "s-1".to_owned(), excluded: true };
+    let request_admitted =
+        HandoverMessage::RequestAdmitted { pool: "platform".to_owned(), id: "9b1f".to_owned() };
     for (message, expected) in [
         (HandoverMessage::RequestState, r"SGH1T"),
         (share_exclusion, r"SGH1B\x00\x00\x00\x00\x00\x00\x00\x05\x00\x03s-1\x01"),
+        (HandoverMessage::SharesRequestIds, r"SGH1Q"),
+        (request_admitted, r"SGH1O\x00\x08platform\x00\x049b1f"),
         (HandoverMessage::ExclusionAcknowledged { number: 5 }, r"SGH1A\x00\x00\x00\x00\x00\x00\x00\x05"),
         (
             HandoverMessage::StatePart(StatePart::OpenDescriptors(6)),
