Move closing and flow control of a connection to modules of their own

Change: src/transport/connection/flow_control.rs and closing.rs have these rules. No behaviour changes.

--- a/src/transport/connection/client_side.rs
+++ b/src/transport/connection/client_side.rs
@@ -4,8 +4,9 @@
 
 use tokio::time::Instant;
 
+use super::closing::CLOSE_TIMEOUT;
 use super::socket_end::SocketEnd;
-use super::{Connection, CLOSE_TIMEOUT, READ_BUFFER_BYTES};
+use super::{Connection, READ_BUFFER_BYTES};
 use crate::protocol::pcap::{CloseKind, Direction};
 use crate::protocol::FrontEvent;
 use crate::routing::Input;
--- a/src/transport/connection/mod.rs
+++ b/src/transport/connection/mod.rs
@@ -5,12 +5,12 @@
 //! reducer, and the reducer's effects arrive as [`ConnectionCommand`]s.
 
 mod client_side;
+mod closing;
+mod flow_control;
 mod server_side;
 mod socket_end;
 mod upstream;
 
-use std::time::Duration;
-
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot;
@@ -29,16 +29,6 @@
 
 /// Size of the buffer for a single read.
 const READ_BUFFER_BYTES: usize = 8 << 10;
-/// Longest time for which a closing connection keeps its sockets open, so that its last lines are delivered.
-const CLOSE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time without bytes from the client after which a closing connection is closed before [`CLOSE_TIMEOUT`], if
-/// all pending bytes are written. The early close frees descriptors for other connections.
-const QUIET_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum number of bytes that are read and discarded from a client that already has its answer. Closing the
-/// socket while bytes are unread would reset the connection, and the answer could be lost. The limit applies
-/// to clients that never stop sending.
-const MAX_DISCARDED_BYTES: usize = 128 << 10;
-
 /// Shared handles that a connection's task is started with.
 #[derive(Clone)]
 pub(super) struct ConnectionContext {
@@ -237,48 +227,6 @@
         }
     }
 
-    /// Returns the time at which the sockets are closed; none while the connection is open.
-    fn close_time(&self) -> Option<Instant> {
-        let deadline = self.close_deadline?;
-        // A flooding client has more bytes in flight. If they arrived after an early close, they would reset
-        // the connection.
-        let all_written = self.client.is_write_finished() && self.upstream.is_write_finished();
-        if all_written && self.discarded_bytes < MAX_DISCARDED_BYTES {
-            Some(deadline.min(self.client_quiet_since + QUIET_TIMEOUT))
-        } else {
-            Some(deadline)
-        }
-    }
-
-    /// Returns whether both sides are closed in order, or the time to close them has passed.
-    fn is_close_due(&self, close_time: Instant) -> bool {
-        let client_closed = self.client.is_write_finished() && self.client.is_read_ended();
-        (client_closed && self.upstream.is_write_finished()) || Instant::now() >= close_time
-    }
-
-    /// Returns whether the buffers have capacity for more bytes from the client, and for the answers to them.
-    fn can_read_client(&self) -> bool {
-        let pending = self.upstream.socket().map_or(0, SocketEnd::pending_len) + self.front.buffered_bytes();
-        let answers_fit = !self.has_unread_answers || self.client.pending_len() < self.buffer_limit;
-        // Before a connection is established, its front's protocol enforces its own limit.
-        let has_capacity = (pending < self.buffer_limit && answers_fit) || !self.established;
-        has_capacity && self.discarded_bytes < MAX_DISCARDED_BYTES
-    }
-
-    /// Returns whether the buffers have capacity for more bytes from the server.
-    ///
-    /// Before a connection is established, the front itself answers the server, so that the answers that the
-    /// server does not read count as well. Afterwards the bytes that are pending for the server are the
-    /// client's. They do not count: a server that writes before it reads on would never finish its write.
-    fn can_read_attempt(&self) -> bool {
-        let answers = self.upstream.socket().filter(|_| !self.established).map_or(0, SocketEnd::pending_len);
-        self.client.pending_len() < self.buffer_limit && answers < self.buffer_limit
-    }
-
-    fn is_closing(&self) -> bool {
-        self.close_deadline.is_some()
-    }
-
     fn record(&mut self, records: impl FnOnce(&mut ConnectionRecorder, Time) -> Vec<u8>) {
         if let Some(recorder) = &mut self.recorder {
             self.context.recorder.record(|at| records(recorder, at));
@@ -324,18 +272,6 @@
         }
     }
 
-    /// Starts to close both sides. Each side is shut down when its pending bytes are written.
-    fn close_in_order(&mut self) {
-        self.client.close_when_written();
-        match &mut self.upstream {
-            Upstream::Connected(attempt) if attempt.request_forwarded => attempt.socket.close_when_written(),
-            // A request that is not written in full must not be completed, so the attempt is dropped.
-            upstream => *upstream = Upstream::Idle,
-        }
-        self.client_quiet_since = Instant::now();
-        self.close_deadline.get_or_insert(self.client_quiet_since + CLOSE_TIMEOUT);
-    }
-
     /// Returns whether the connection is in a state from which the successor can continue it.
     fn is_transferable(&self) -> bool {
         let settled = self.client.is_settled() && self.upstream.socket().is_some_and(SocketEnd::is_settled);
