Limit a response of discovery to an eighth of the memory of the process

Seen: in a run of the whole suite one response of 4 MB took 17.0 MB at a limit of 16 MB, after the limits of the head and of the values had been added.

Cause: a response is held up to four times while it is parsed, and its limit of 4 MiB did not depend on the memory of the process. 131,072 values as objects would also take more than that memory.

Change: a response may have an eighth of memory_mb, at most 4 MiB as before, with an error that names the bytes and the limit; a JSON document may have 65,536 values (7,000 servers with eight fields each).

--- a/simulation/src/pool.rs
+++ b/simulation/src/pool.rs
@@ -19,6 +19,7 @@
     max_pending_connections: 100_000,
     max_admitted_connections: 100_000,
     buffer_bytes: 8192,
+    max_response_bytes: 4 << 20,
 };
 /// Zone of all servers and balancers.
 const ZONE: &str = "a";
--- a/src/program/config/limits.rs
+++ b/src/program/config/limits.rs
@@ -1,5 +1,6 @@
 //! Limits on the resources of the process, and their division between connections.
 
+use crate::protocol::http::MAX_RESPONSE_LENGTH;
 use crate::protocol::json::{DecodeError, JsonNode};
 use crate::routing::{ResourceLimits, MAX_PROBES};
 
@@ -17,6 +18,8 @@
 const DEFAULT_MEMORY_MB: usize = 256;
 /// Smallest size of a buffer: it holds a few lines in each direction of a connection.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// The longest response of discovery takes this part of the memory. It is held several times while it is parsed.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
 /// Keys of the limits in both configuration files.
@@ -79,6 +82,7 @@
     ///   eighths of the free ones.
     /// - Half of the memory is for buffers. Admitted connections may use three quarters of the buffers,
     ///   pending ones a quarter.
+    /// - A response of discovery may have an eighth of the memory, up to [`MAX_RESPONSE_LENGTH`].
     pub fn resource_limits(self, has_admin_endpoint: bool, has_probes: bool) -> ResourceLimits {
         let admin_sockets = if has_admin_endpoint { ADMIN_SOCKETS } else { 0 };
         let probe_sockets = if has_probes { MAX_PROBES } else { 0 };
@@ -96,6 +100,7 @@
             max_pending_connections: pending,
             max_admitted_connections: admitted,
             buffer_bytes: buffer.clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES),
+            max_response_bytes: ((self.memory_mb << 20) / RESPONSE_MEMORY_DIVISOR).min(MAX_RESPONSE_LENGTH),
         }
     }
 }
--- a/src/protocol/json.rs
+++ b/src/protocol/json.rs
@@ -17,7 +17,7 @@
 const MAX_QUOTED_CHARS: usize = 64;
 /// Maximum number of values of a document, several times that of the endpoint list of the largest fleet. A
 /// parsed value takes many times the memory of a short value's text.
-pub const MAX_VALUES: usize = 1 << 17;
+pub const MAX_VALUES: usize = 1 << 16;
 const MICROS_PER_MS: f64 = 1000.0;
 
 /// Why a document could not be decoded.
--- a/src/routing/pool_config.rs
+++ b/src/routing/pool_config.rs
@@ -26,6 +26,8 @@
     pub max_admitted_connections: usize,
     /// Bytes buffered for one side of a connection at which the balancer stops reading from the other side.
     pub buffer_bytes: usize,
+    /// Longest response of discovery that is read, in bytes.
+    pub max_response_bytes: usize,
 }
 
 /// Configuration of one pool of servers.
--- a/src/transport/discovery_watch/connection.rs
+++ b/src/transport/discovery_watch/connection.rs
@@ -26,6 +26,8 @@
 /// than 200 ms after its last answer as a new watch.
 pub(super) struct DiscoveryConnection {
     discovery: SocketAddr,
+    /// Length of the longest response that is read, in bytes.
+    max_response_bytes: usize,
     open: Option<OpenConnection>,
 }
 
@@ -45,8 +47,8 @@
 
 impl DiscoveryConnection {
     /// Creates a connection that is opened by its first call.
-    pub(super) fn new(discovery: SocketAddr) -> DiscoveryConnection {
-        DiscoveryConnection { discovery, open: None }
+    pub(super) fn new(discovery: SocketAddr, max_response_bytes: usize) -> DiscoveryConnection {
+        DiscoveryConnection { discovery, max_response_bytes, open: None }
     }
 
     /// Makes a call that fails if it takes longer than `call_timeout`.
@@ -101,7 +103,7 @@
         });
         let request = http::encode_request(&self.discovery.to_string(), since);
         open.stream.write_all(&request).await?;
-        let answer = open.read_answer().await?;
+        let answer = open.read_answer(self.max_response_bytes).await?;
         if answer.closes_connection {
             self.open = None;
         }
@@ -116,9 +118,13 @@
         Ok(OpenConnection { stream, received: Vec::new() })
     }
 
-    async fn read_answer(&mut self) -> Result<http::Response, DiscoveryError> {
+    async fn read_answer(&mut self, max_response_bytes: usize) -> Result<http::Response, DiscoveryError> {
         loop {
             let ended = self.stream.read_buf(&mut self.received).await? == 0;
+            let received = self.received.len();
+            if received > max_response_bytes {
+                return Err(DiscoveryError::TooLong { received, limit: max_response_bytes });
+            }
             let answer = http::parse_response(&self.received, ended).map_err(DiscoveryError::Malformed)?;
             if let Some(answer) = answer {
                 // The remaining bytes are moved to a buffer of their size, so that a long answer releases its memory.
--- a/src/transport/discovery_watch/error.rs
+++ b/src/transport/discovery_watch/error.rs
@@ -45,6 +45,14 @@
     /// The answer is not a valid HTTP response.
     #[error("{0}")]
     Malformed(#[source] HttpError),
+    /// The answer is longer than the memory of the process allows.
+    #[error("discovery: response of at least {received} bytes exceeds the limit of {limit}")]
+    TooLong {
+        /// Bytes of the answer that were received.
+        received: usize,
+        /// Limit of the length, in bytes.
+        limit: usize,
+    },
     /// The body of the answer is not a valid endpoint list.
     #[error("{0}")]
     InvalidList(#[source] DecodeError),
--- a/src/transport/discovery_watch/follower.rs
+++ b/src/transport/discovery_watch/follower.rs
@@ -140,7 +140,9 @@
 
     /// Starts a call after a delay.
     fn start_call(&mut self, delay: Duration) -> PendingCall {
-        let connection = self.connection.take().unwrap_or_else(|| DiscoveryConnection::new(self.discovery));
+        let max_response_bytes = self.reducer.max_response_bytes();
+        let open_new = || DiscoveryConnection::new(self.discovery, max_response_bytes);
+        let connection = self.connection.take().unwrap_or_else(open_new);
         let since = self.generation.map(|generation| ChangesSince { generation, hold: self.hold });
         let hold = since.map_or(Duration::ZERO, |since| since.hold);
         let timing = self.reducer.endpoint_watch_timing(self.pool);
--- a/src/transport/reducer.rs
+++ b/src/transport/reducer.rs
@@ -113,6 +113,11 @@
         self.0.state.borrow().resource_limits().buffer_bytes
     }
 
+    /// Returns the length of the longest response of discovery that is read, in bytes.
+    pub(super) fn max_response_bytes(&self) -> usize {
+        self.0.state.borrow().resource_limits().max_response_bytes
+    }
+
     /// Returns the timeouts and delays of a pool's watch on its endpoint list.
     pub(super) fn endpoint_watch_timing(&self, pool: PoolId) -> EndpointWatchTiming {
         self.0.state.borrow().endpoint_watch_timing(pool)
--- a/tests/daemon/floods/discovery.rs
+++ b/tests/daemon/floods/discovery.rs
@@ -27,8 +27,8 @@
     format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
-/// A head of very many short fields, and lists of very many short values. The parsed fields once exceeded the
-/// memory limit.
+/// A head of very many short fields, lists of very many short values, and long responses. The parsed fields once
+/// exceeded the memory limit.
 #[test]
 fn responses_of_very_many_short_fields_fit_into_memory() {
     let list = |values: String| format!(r#"{{"generation": 9, "reset": true, "instances": [{values}]}}"#);
@@ -36,14 +36,20 @@
         format!("HTTP/1.1 200 X\r\n{}", "a:\r\n".repeat(FIELDS)),
         with_body(&list(format!("{}1", "1,".repeat(FIELDS)))),
         with_body(&list(format!("{}1", "[],".repeat(FIELDS / 2)))),
+        with_body(&list(format!("{}1", r#"{"a":1},"#.repeat(30_000)))),
         with_body(&"x".repeat(FIELDS * 2)),
+        with_body(&"x".repeat(FIELDS)),
+        with_body(&list(format!("\"{}\"", "x".repeat(FIELDS)))),
     ];
-    for response in responses {
-        let server = ManualServer::start();
-        let daemon = start_platform_front(start_discovery(response), &server, SMALLEST_LIMITS);
-
-        assert_admin_calls_are_answered_in_time(&daemon);
-
-        SMALLEST_LIMITS.assert_kept(&daemon);
-    }
+    // The daemons run at the same time, since each is observed for seconds.
+    std::thread::scope(|scope| {
+        for response in responses {
+            scope.spawn(|| {
+                let server = ManualServer::start();
+                let daemon = start_platform_front(start_discovery(response), &server, SMALLEST_LIMITS);
+                assert_admin_calls_are_answered_in_time(&daemon);
+                SMALLEST_LIMITS.assert_kept(&daemon);
+            });
+        }
+    });
 }
--- a/tests/reducer/attempts.rs
+++ b/tests/reducer/attempts.rs
@@ -165,6 +165,7 @@
         max_pending_connections: 3,
         max_admitted_connections: 2,
         buffer_bytes: 8192,
+        max_response_bytes: 4 << 20,
     });
     let silent = harness.connect_client();
     let answered = harness.connect_client();
--- a/tests/reducer_harness/mod.rs
+++ b/tests/reducer_harness/mod.rs
@@ -12,6 +12,7 @@
     max_pending_connections: 100_000,
     max_admitted_connections: 100_000,
     buffer_bytes: 8192,
+    max_response_bytes: 4 << 20,
 };
 
 /// The reducer's state, the time that is passed with each input, and the number of the last connection.
