Name the catch-up by its file in the public documentation of the store

Cause: the documentation of the public module linked to a private one, which the documentation build denies.

Change: the head of src/routing/store.rs names the file.

Result: cargo doc with warnings denied passes.

--- a/src/routing/store.rs
+++ b/src/routing/store.rs
@@ -14,7 +14,7 @@
 //!
 //! A node that restarts assigns low counters to its writes until it has received the entries that it missed.
 //! Such writes would lose to older entries. Writes made before the node is caught up
-//! ([`super::catch_up`]) are therefore unconfirmed. An unconfirmed write that loses to a received entry is
+//! (`src/routing/catch_up.rs`) are therefore unconfirmed. An unconfirmed write that loses to a received entry is
 //! repeated once, with a counter above that of the entry.
 //!
 //! [`ReplicatedMap`] owns the entries of one node. It neither sends nor persists anything, but returns the
