Keep the lease on the endpoint list after failed calls, and renew it only in an outage

Cause: EndpointLease::Inactive stood for "no answer yet" and for "a call failed", and never expired. An overload and an outage both fail calls with 503 or a reset, and each failure was taken for an outage.

The log did not show how long a failed call had waited; it does now.

Change: the lease ends 6 s after the last time until which the list is known to lack no change. A failure after a wait, or an unusable answer, shows that discovery runs; only an answer renews it from then on.

tests/policy_rules.rs had "the list does not expire while discovery is down" as "no time of expiry". It now calls at the longest interval for 95 s, and the list must not be expired at the end of any interval.

--- a/src/bin/simulator-adapter/instance.rs
+++ b/src/bin/simulator-adapter/instance.rs
@@ -88,7 +88,7 @@
                 // The simulator does not report the reason for the failure. The reason has no effect here: it
                 // matters only for a list with a lease, and the adapter passes no confirmations, which would
                 // start a lease.
-                let failed = Event::EndpointWatchFailed(WatchFailure::Rejected);
+                let failed = Event::EndpointWatchFailed { failure: WatchFailure::Rejected, called_at: now };
                 self.balancer.handle(now, failed, actions);
             }
             EndpointSync::Snapshot { set } => {
--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -1,4 +1,4 @@
-//! The lease on the endpoint list: for how long the list may be used without an answer of discovery.
+//! The lease on the endpoint list: until when the list may be used without an answer of discovery.
 //!
 //! **What is decided.** Whether the list has expired. While it is expired, new requests and retries are
 //! refused with [`RefusalReason::EndpointListExpired`](crate::RefusalReason::EndpointListExpired), no
@@ -6,90 +6,96 @@
 //! whose request is not written before the list expires is withdrawn.
 //!
 //! **Inputs.** Each answer of discovery, with or without a change (a confirmation); a watch without an answer
-//! when one was expected, with the time of its call; a failed call, with the state of discovery that the
-//! failure indicates.
+//! when one was expected; a failed call, with the state of discovery that the failure indicates. Each with
+//! its time and the time of its call, in microseconds.
 //!
-//! **Rule.** A confirmation starts a lease of 6 s. A watch that becomes silent does not renew the lease,
-//! which then counts from the earlier of the watch's call and the last confirmation. The list does not expire
+//! **Rule.** The list expires 6 s after the last time until which it is known to lack no change. That time is
 //!
-//! - before the first answer of discovery, unless a watch becomes silent;
-//! - after a failed call on a watch that was not silent. A watch also fails in this way when discovery goes
-//!   down; it is then reopened after a backoff;
-//! - while the silence of a watch has an explanation: calls are refused or not connected, or, where lists are
-//!   pushed to an agent, the agent does not answer.
+//! - the last answer;
+//! - if it is later, and no change may have been missed since the answer, the last call whose failure shows
+//!   that discovery is down;
+//! - if the watch became silent, the call of the watch, if it is earlier. While an outage explains the
+//!   silence, the list expires 6 s after the last call that shows the outage.
 //!
-//! **Why.** A silent watch looks the same as a watch without changes. Each change that discovery lists
-//! counts as notified 6 s later, whether or not it has arrived here. From then on each server of the old list
-//! may be draining, and attempts at a draining server must end within the drain grace. While discovery is
-//! down it lists no changes, so no newer list exists than the old one.
+//! A call that fails after a wait shows that discovery runs. From then on only an answer extends the lease.
+//! No failure makes a list that expires one that does not. The section "The lease on the endpoint list" of
+//! `docs/design.md` has a table of all states and events. A host that reports neither an answer nor a silent
+//! watch has a list that does not expire.
+//!
+//! **Why.** A silent watch looks the same as a watch without changes, and an overloaded discovery fails calls
+//! with the same answers as one that is down. Each change that discovery lists counts as notified 6 s later,
+//! whether or not it has arrived here. From then on each server of the old list may be draining, and attempts
+//! at a draining server must end within the drain grace. While discovery is down it lists no changes, so no
+//! newer list exists than the old one. An overloaded discovery lets a call wait before the call fails, so
+//! only a failure without a wait shows that discovery is down.
 
 use crate::types::{Micros, Time, WatchFailure};
 
 /// Time after which a change that discovery lists counts as notified, whether or not it has arrived.
 pub const NOTIFICATION_TIMEOUT: Micros = Micros::from_secs(6);
 
-/// State of the lease: whether the endpoint list may lack changes that count as notified.
+/// Whether the list may lack changes that discovery listed before its last known state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum EndpointLease {
-    /// The list does not expire: discovery has not answered yet, or a call failed while the watch was not
-    /// silent, which also happens when discovery goes down.
+pub enum ListContinuity {
+    /// Each change since the last answer would have arrived, unless discovery is down.
     #[default]
-    Inactive,
-    /// Discovery has answered, and later changes arrive on a watch.
-    Confirmed {
-        /// Time of the answer.
-        at: Time,
-    },
-    /// The watch had no answer when one was expected.
-    Silent {
-        /// Time from which changes may be missing.
-        since: Time,
-        /// Whether discovery is assumed to be running.
-        discovery_is_up: bool,
-    },
+    Continuous,
+    /// The watch became silent. It may have missed changes, unless an outage explains the silence.
+    Silent,
+    /// Discovery ran after the last answer and did not send its changes.
+    Interrupted,
+}
+
+/// The lease on the endpoint list, and the evidence by which it may be extended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EndpointLease {
+    /// Time at which the list expires; none if it does not.
+    expires_at: Option<Time>,
+    continuity: ListContinuity,
+    /// Time until which an outage of discovery explains the silence of the watch. It has no effect unless
+    /// the watch is silent.
+    outage_expires_at: Option<Time>,
 }
 
 impl EndpointLease {
-    /// Starts a lease when discovery has answered.
+    /// Renews the lease when discovery has answered.
     pub fn on_confirmed(&mut self, now: Time) {
-        *self = EndpointLease::Confirmed { at: now };
+        let expires_at = Some(now.plus(NOTIFICATION_TIMEOUT));
+        *self = EndpointLease { expires_at, ..EndpointLease::default() };
     }
 
     /// Records that the watch whose call was made at `called_at` had no answer. Where lists are pushed to an
     /// agent (`is_pushed`), the agent is silent while discovery is down. Discovery is then assumed to be down
-    /// until the agent answers.
-    pub fn on_watch_silent(&mut self, called_at: Time, is_pushed: bool) {
-        let since = match *self {
-            EndpointLease::Confirmed { at: earlier } | EndpointLease::Silent { since: earlier, .. } => {
-                called_at.min(earlier)
-            }
-            EndpointLease::Inactive => called_at,
-        };
-        *self = EndpointLease::Silent { since, discovery_is_up: !is_pushed };
+    /// until a call shows the opposite.
+    pub fn on_watch_silent(&mut self, now: Time, called_at: Time, is_pushed: bool) {
+        let limit = called_at.plus(NOTIFICATION_TIMEOUT);
+        self.expires_at = Some(self.expires_at.map_or(limit, |earlier| earlier.min(limit)));
+        self.record_silence();
+        if is_pushed {
+            self.record_outage(now);
+        }
     }
 
-    /// Records a failed call. A silent watch is still silent, but the failure shows whether discovery is
-    /// running. Any other watch has ended.
-    pub fn on_watch_failed(&mut self, failure: WatchFailure, is_pushed: bool) {
-        let EndpointLease::Silent { discovery_is_up, .. } = self else {
-            *self = EndpointLease::Inactive;
-            return;
-        };
-        *discovery_is_up = match failure {
-            WatchFailure::Unreachable => false,
-            WatchFailure::Unanswered => !is_pushed,
-            WatchFailure::Rejected => true,
-        };
+    /// Records a failed call that was made at `called_at`.
+    pub fn on_call_failed(&mut self, now: Time, failure: WatchFailure, called_at: Time, is_pushed: bool) {
+        let is_silent = self.continuity == ListContinuity::Silent;
+        match failure {
+            WatchFailure::Unreachable => self.record_outage(called_at),
+            WatchFailure::Unavailable if !is_silent => self.record_outage(called_at),
+            WatchFailure::Unanswered if is_pushed => self.record_outage(now),
+            WatchFailure::Unanswered => self.record_silence(),
+            WatchFailure::WatchEnded => {}
+            WatchFailure::Unavailable | WatchFailure::Rejected => {
+                self.continuity = ListContinuity::Interrupted;
+            }
+        }
     }
 
     /// Returns the time until which the list may be used; none if it does not expire.
     pub fn expires_at(self) -> Option<Time> {
-        match self {
-            EndpointLease::Confirmed { at: since }
-            | EndpointLease::Silent { since, discovery_is_up: true } => {
-                Some(since.plus(NOTIFICATION_TIMEOUT))
-            }
-            EndpointLease::Inactive | EndpointLease::Silent { discovery_is_up: false, .. } => None,
+        match self.continuity {
+            ListContinuity::Silent => self.expires_at.max(self.outage_expires_at),
+            ListContinuity::Continuous | ListContinuity::Interrupted => self.expires_at,
         }
     }
 
@@ -102,4 +108,25 @@
     pub fn is_expired(self, now: Time) -> bool {
         self.time_left(now) == Some(Micros::ZERO)
     }
+
+    /// Extends the lease of a list that lacks no change, because discovery was down at `at`. The lease of a
+    /// list whose watch is silent is extended as long as the outage explains the silence.
+    fn record_outage(&mut self, at: Time) {
+        let extended = at.plus(NOTIFICATION_TIMEOUT);
+        match self.continuity {
+            ListContinuity::Continuous => {
+                self.expires_at = self.expires_at.map(|earlier| earlier.max(extended));
+            }
+            ListContinuity::Silent => self.outage_expires_at = Some(extended),
+            ListContinuity::Interrupted => {}
+        }
+    }
+
+    /// Records that an outage does not explain the missing answer of a call.
+    fn record_silence(&mut self) {
+        self.outage_expires_at = None;
+        if self.continuity == ListContinuity::Continuous {
+            self.continuity = ListContinuity::Silent;
+        }
+    }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -157,9 +157,11 @@
             }
             Event::EndpointListConfirmed => self.endpoint_lease.on_confirmed(self.now),
             Event::EndpointWatchSilent { called_at } => {
-                self.endpoint_lease.on_watch_silent(called_at, self.settings.endpoints_pushed);
+                self.endpoint_lease.on_watch_silent(self.now, called_at, self.settings.endpoints_pushed);
+            }
+            Event::EndpointWatchFailed { failure, called_at } => {
+                self.on_endpoint_watch_failed(failure, called_at);
             }
-            Event::EndpointWatchFailed(failure) => self.on_endpoint_watch_failed(failure),
             Event::RequestArrived { request, class, group, load, deadline, .. } => {
                 let slots = self.connection_sizes.estimate(class, load);
                 let deadline = retry_policy::answer_deadline(self.now, deadline);
@@ -206,8 +208,9 @@
         }
     }
 
-    fn on_endpoint_watch_failed(&mut self, failure: WatchFailure) {
-        self.endpoint_lease.on_watch_failed(failure, self.settings.endpoints_pushed);
+    fn on_endpoint_watch_failed(&mut self, failure: WatchFailure, called_at: Time) {
+        let is_pushed = self.settings.endpoints_pushed;
+        self.endpoint_lease.on_call_failed(self.now, failure, called_at, is_pushed);
         self.endpoint_watch.on_call_failed(self.now, &self.settings, &mut self.rng);
     }
 
--- a/src/routing/endpoint_watch.rs
+++ b/src/routing/endpoint_watch.rs
@@ -9,7 +9,7 @@
 //!
 //! - an answer, which confirms the list even if nothing has changed;
 //! - a poll that was not answered in time: the watch is silent, and the lease is not renewed;
-//! - a poll that failed.
+//! - a poll that failed, with the state of discovery that the failure indicates.
 //!
 //! The operator's file is not watched, and a list from it does not expire.
 //!
@@ -60,14 +60,21 @@
         self.limit_forwarding_to_list_expiry(pool);
     }
 
-    /// Handles a poll that failed.
-    pub(super) fn on_endpoint_watch_lost(&mut self, now: Time, pool: PoolId, failure: WatchFailure) {
+    /// Handles a poll that was sent `polled_ago` before now and failed.
+    pub(super) fn on_endpoint_watch_lost(
+        &mut self,
+        now: Time,
+        pool: PoolId,
+        failure: WatchFailure,
+        polled_ago: Micros,
+    ) {
         // An unanswered poll was already counted when the watch became silent.
         if failure != WatchFailure::Unanswered {
             self.pools[pool.0].count_discovery_failure();
         }
         self.notify_rebalancer(now, pool, RebalanceEvent::EndpointListLost);
-        self.dispatch(now, pool, Event::EndpointWatchFailed(failure));
+        let called_at = now.minus(polled_ago);
+        self.dispatch(now, pool, Event::EndpointWatchFailed { failure, called_at });
         self.limit_forwarding_to_list_expiry(pool);
     }
 
--- a/src/routing/input.rs
+++ b/src/routing/input.rs
@@ -131,6 +131,8 @@
         pool: PoolId,
         /// The state of discovery that the failure indicates.
         failure: WatchFailure,
+        /// Time since the failed poll was sent, or was repeated on a new connection.
+        polled_ago: Micros,
     },
     /// A poll of a pool's endpoint list had no answer in time. The driver repeats it.
     EndpointWatchSilent {
--- a/src/routing/reducer.rs
+++ b/src/routing/reducer.rs
@@ -43,7 +43,9 @@
             Input::EndpointsUpdated { pool, is_snapshot, endpoints } => {
                 self.on_endpoints_updated(now, pool, is_snapshot, endpoints);
             }
-            Input::EndpointWatchLost { pool, failure } => self.on_endpoint_watch_lost(now, pool, failure),
+            Input::EndpointWatchLost { pool, failure, polled_ago } => {
+                self.on_endpoint_watch_lost(now, pool, failure, polled_ago);
+            }
             Input::EndpointWatchSilent { pool, polled_ago } => {
                 self.on_endpoint_watch_silent(now, pool, polled_ago);
             }
--- a/src/transport/discovery_watch/error.rs
+++ b/src/transport/discovery_watch/error.rs
@@ -1,13 +1,15 @@
-//! Errors of calls to discovery, and how the reducer classifies them.
+//! Errors of calls to discovery.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::time::Duration;
 
 use thiserror::Error;
 
 use crate::protocol::http::HttpError;
 use crate::protocol::json::DecodeError;
-use crate::WatchFailure;
+
+/// HTTP statuses of a service that is down, or of a gateway before it.
+const UNAVAILABLE_STATUSES: [u16; 3] = [502, 503, 504];
 
 /// Why a call to discovery failed.
 #[derive(Debug, Error)]
@@ -18,18 +20,26 @@
         /// Timeout of the call.
         call_timeout: Duration,
     },
-    /// No connection was established before the timeout of the call.
-    #[error("no connection to discovery was established within {} ms", .call_timeout.as_millis())]
+    /// No connection was established in time.
+    #[error("no connection to discovery was established within {} ms", .timeout.as_millis())]
     NotConnected {
-        /// Timeout of the call, which includes the connect.
-        call_timeout: Duration,
+        /// Timeout of the connect, or of the call.
+        timeout: Duration,
     },
     /// The connection cannot be established.
     #[error("cannot connect to discovery: {0}")]
     Connect(#[source] io::Error),
-    /// A read or write on the connection failed.
+    /// A read or write on the connection failed before the answer.
     #[error("connection to discovery failed: {0}")]
     Socket(#[from] io::Error),
+    /// A read on the connection failed in the middle of the answer.
+    #[error("connection to discovery failed after {received} bytes of an incomplete answer: {source}")]
+    Interrupted {
+        /// Bytes of the answer that were received.
+        received: usize,
+        /// Error of the read.
+        source: io::Error,
+    },
     /// Discovery closed the connection before its answer was complete.
     #[error("discovery closed the connection after {received} bytes of an incomplete answer")]
     Closed {
@@ -66,16 +76,24 @@
 }
 
 impl DiscoveryError {
-    /// Classifies the error for the reducer. Discovery counts as unreachable only if there is no other
-    /// explanation for the error: most connect errors can be caused by transient faults of this machine.
-    pub(super) fn watch_failure(&self) -> WatchFailure {
+    /// Returns the error of a read that failed after `received` bytes of the answer.
+    pub(super) fn reading(source: io::Error, received: usize) -> DiscoveryError {
+        match received {
+            0 => DiscoveryError::Socket(source),
+            received => DiscoveryError::Interrupted { received, source },
+        }
+    }
+
+    /// Returns whether calls fail in this way while discovery is down. They also do so while it is overloaded.
+    pub(super) fn may_be_outage(&self) -> bool {
         match self {
-            DiscoveryError::NotConnected { .. } => WatchFailure::Unreachable,
-            DiscoveryError::Connect(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                WatchFailure::Unreachable
+            DiscoveryError::Socket(_) | DiscoveryError::Closed { received: 0 } => true,
+            DiscoveryError::Status { status } => UNAVAILABLE_STATUSES.contains(status),
+            // Other connect errors can be caused by transient faults of this machine.
+            DiscoveryError::Connect(error) => {
+                matches!(error.kind(), ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable)
             }
-            DiscoveryError::TimedOut { .. } => WatchFailure::Unanswered,
-            _ => WatchFailure::Rejected,
+            _ => false,
         }
     }
 }
--- a/src/transport/discovery_watch/follower.rs
+++ b/src/transport/discovery_watch/follower.rs
@@ -17,6 +17,7 @@
 
 use super::connection::{ChangesSince, DiscoveryConnection, FinishedCall};
 use super::error::DiscoveryError;
+use super::failed_call::FailedCall;
 use crate::protocol::http::EndpointListUpdate;
 use crate::routing::{Endpoint, EndpointWatchTiming, Input, Lifecycle, PoolId};
 use crate::transport::log_event::{log_event, LogEvent};
@@ -46,7 +47,7 @@
 
 /// The outcome of waiting for a call.
 enum CallOutcome {
-    Finished(FinishedCall),
+    Finished(Box<FinishedCall>),
     /// The call counts as silent, and is still pending.
     Silent,
 }
@@ -94,11 +95,10 @@
     /// fails. The reducer then decides when the watch is reopened.
     pub(super) async fn run(mut self, mut requested: mpsc::Receiver<()>) {
         while self.wait_for_request(&mut requested).await {
-            let error = self.follow_until_error().await;
-            log_event!(LogEvent::EndpointListFailed { error: &error, age: self.answered_at.elapsed() });
+            let failed = self.follow_until_failure().await;
             // Requests from before this failure were satisfied by the watch that has just ended.
             while requested.try_recv().is_ok() {}
-            self.reducer.feed(Input::EndpointWatchLost { pool: self.pool, failure: error.watch_failure() });
+            self.report_failure(&failed);
         }
     }
 
@@ -110,7 +110,7 @@
                 request = requested.recv() => return request.is_some(),
                 finished = wait_for_silent_call(&mut self.silent_call) => {
                     if let Some(finished) = self.accept_silent_call_answer(finished) {
-                        // An accepted answer is never an error.
+                        // An accepted answer is never a failure.
                         let _ = self.apply_result(finished).await;
                         return true;
                     }
@@ -119,15 +119,24 @@
         }
     }
 
-    async fn follow_until_error(&mut self) -> DiscoveryError {
+    fn report_failure(&self, failed: &FailedCall) {
+        let FailedCall { error, exchange, waited } = failed;
+        let failure = failed.watch_failure();
+        let age = self.answered_at.elapsed();
+        log_event!(LogEvent::EndpointListFailed { error, failure, waited: *waited, age });
+        let polled_ago = micros_since(exchange.started_at);
+        self.reducer.feed(Input::EndpointWatchLost { pool: self.pool, failure, polled_ago });
+    }
+
+    async fn follow_until_failure(&mut self) -> FailedCall {
         let mut delay = Duration::ZERO;
         loop {
             let mut call = self.start_call(delay);
             delay = Duration::ZERO;
             match self.wait_for_answer(&mut call).await {
                 CallOutcome::Finished(finished) => {
-                    if let Err(error) = self.apply_result(finished).await {
-                        return error;
+                    if let Err(failed) = self.apply_result(*finished).await {
+                        return failed;
                     }
                 }
                 CallOutcome::Silent => {
@@ -170,11 +179,11 @@
     async fn wait_for_answer(&mut self, call: &mut PendingCall) -> CallOutcome {
         loop {
             tokio::select! {
-                finished = &mut call.future => return CallOutcome::Finished(finished),
+                finished = &mut call.future => return CallOutcome::Finished(Box::new(finished)),
                 () = wait_until_silent(call.silent_at) => return CallOutcome::Silent,
                 finished = wait_for_silent_call(&mut self.silent_call) => {
                     if let Some(finished) = self.accept_silent_call_answer(finished) {
-                        return CallOutcome::Finished(finished);
+                        return CallOutcome::Finished(Box::new(finished));
                     }
                 }
             }
@@ -200,20 +209,20 @@
     }
 
     fn feed_silence(&self, called_at: Instant) {
-        let polled_ago = Micros(called_at.elapsed().as_micros() as u64);
+        let polled_ago = micros_since(called_at);
         self.reducer.feed(Input::EndpointWatchSilent { pool: self.pool, polled_ago });
     }
 
-    /// Applies the list of a successful call, or returns the call's error.
-    async fn apply_result(&mut self, finished: FinishedCall) -> Result<(), DiscoveryError> {
+    /// Applies the list of a successful call, or returns the failed call.
+    async fn apply_result(&mut self, finished: FinishedCall) -> Result<(), FailedCall> {
         let FinishedCall { connection, called_at, result } = finished;
         let update = match result {
             Ok(update) => update,
-            Err(error) => {
-                if matches!(error, DiscoveryError::TimedOut { .. }) {
+            Err(failed) => {
+                if matches!(failed.error, DiscoveryError::TimedOut { .. }) {
                     self.feed_silence(called_at);
                 }
-                return Err(error);
+                return Err(failed);
             }
         };
         self.connection = Some(connection);
@@ -258,6 +267,10 @@
     }
 }
 
+fn micros_since(at: Instant) -> Micros {
+    Micros(at.elapsed().as_micros() as u64)
+}
+
 /// Waits until the silent call finishes. Never returns if there is no silent call.
 async fn wait_for_silent_call(silent_call: &mut Option<PendingCall>) -> FinishedCall {
     match silent_call {
--- a/src/transport/discovery_watch/mod.rs
+++ b/src/transport/discovery_watch/mod.rs
@@ -3,6 +3,7 @@
 
 mod connection;
 mod error;
+mod failed_call;
 mod follower;
 
 use std::collections::HashMap;
--- a/src/transport/log_event.rs
+++ b/src/transport/log_event.rs
@@ -13,6 +13,7 @@
 
 use super::error::TransportError;
 use crate::routing::{AttemptOutcome, ConnectionId};
+use crate::WatchFailure;
 
 /// An event that is written to the log as one line.
 #[derive(Debug)]
@@ -48,8 +49,8 @@
     EndpointListRetried { waited: Duration, age: Duration },
     /// Discovery sent a delta whose generation is older than the current endpoint list.
     EndpointListOutdated { generation: u64, current: u64 },
-    /// A call to discovery failed.
-    EndpointListFailed { error: &'a dyn Error, age: Duration },
+    /// A call to discovery failed after the time `waited`.
+    EndpointListFailed { error: &'a dyn Error, failure: WatchFailure, waited: Duration, age: Duration },
     /// An attempt of a request is started.
     AttemptOpened { connection: ConnectionId, attempt: u32, address: &'a str },
     /// An attempt is cancelled by this process.
@@ -183,8 +184,14 @@
                      requested"
                 )
             }
-            LogEvent::EndpointListFailed { error, age } => {
-                write!(formatter, "endpoint list: {error}, {} ms after the last answer", age.as_millis())
+            LogEvent::EndpointListFailed { error, failure, waited, age } => {
+                write!(
+                    formatter,
+                    "endpoint list: {error}, failed after {} ms, {}, {} ms after the last answer",
+                    waited.as_millis(),
+                    state_of_discovery(*failure),
+                    age.as_millis()
+                )
             }
             LogEvent::AttemptOpened { connection, attempt, address } => {
                 write!(formatter, "connection {}: attempt {attempt} at {address}", connection.0)
@@ -258,3 +265,14 @@
     }};
 }
 pub(super) use log_event;
+
+/// Returns the text that names the state of discovery which a failed call indicates.
+fn state_of_discovery(failure: WatchFailure) -> &'static str {
+    match failure {
+        WatchFailure::Unreachable => "discovery is unreachable",
+        WatchFailure::Unavailable => "discovery is down unless it was silent before",
+        WatchFailure::WatchEnded => "the watch has ended",
+        WatchFailure::Unanswered => "discovery is silent",
+        WatchFailure::Rejected => "discovery runs and changes may be missing",
+    }
+}
--- a/src/types/event.rs
+++ b/src/types/event.rs
@@ -39,12 +39,18 @@
 /// State of discovery that a failed call for the endpoint list indicates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchFailure {
-    /// Discovery does not run: it refuses connections, or connections are not established.
+    /// Discovery is down: it refuses connections, or connections are not established.
     Unreachable,
+    /// The call failed at once, as calls do while discovery is down: with an answer that a service sends when
+    /// it is unavailable, or because the connection broke before an answer.
+    Unavailable,
+    /// A call that discovery held failed in the same way, after a while. Either discovery has gone down, or
+    /// only this call was ended.
+    WatchEnded,
     /// Discovery accepted the call and did not answer in time.
     Unanswered,
-    /// Any other failure: the answer was an error or cannot be read, or the connection broke. Discovery is
-    /// assumed to run.
+    /// Any other failure: the call had to wait before it failed, or the answer cannot be used. Discovery is
+    /// assumed to run, and may have listed changes.
     Rejected,
 }
 
@@ -64,7 +70,12 @@
     },
     /// A call for the endpoint list failed, or the connection of a watch broke. The previous list is
     /// kept.
-    EndpointWatchFailed(WatchFailure),
+    EndpointWatchFailed {
+        /// State of discovery that the failure indicates.
+        failure: WatchFailure,
+        /// Time at which the failed call was made, or was repeated on a new connection.
+        called_at: Time,
+    },
     /// A client requests a connection. The balancer answers the request at most once, by
     /// [`Action::Reject`](crate::Action::Reject) or [`Action::Fail`](crate::Action::Fail): not at all if a
     /// server answers it, or if the client leaves first.
--- a/tests/daemon/fake_servers/discovery.rs
+++ b/tests/daemon/fake_servers/discovery.rs
@@ -25,6 +25,10 @@
     LateBody(String, Duration),
     /// Sends this status without a body.
     Status(u16),
+    /// Sends this status without a body after this delay.
+    LateStatus(u16, Duration),
+    /// Resets the connection after this delay.
+    LateReset(Duration),
     /// Sends the head and a part of this body, then closes the connection.
     InterruptedBody(String),
     /// Sends nothing and keeps the connection open.
@@ -193,6 +197,19 @@
         self.shared.changed.notify_all();
     }
 
+    /// Sends this status to the open calls, and sets the reply to later ones.
+    pub(crate) fn answer_open_calls(&self, status: u16, reply: Reply) {
+        let mut state = self.shared.lock();
+        state.reply = reply;
+        let response = http_response(status, "");
+        for mut stream in state.open_calls.drain(..) {
+            stream.write_all(response.as_bytes()).expect("the response is written");
+            // A dropped stream would close its connection.
+            std::mem::forget(stream);
+        }
+        self.shared.changed.notify_all();
+    }
+
     /// Leaves all calls without a reply from now on, and refuses connections.
     pub(crate) fn stop_listening(&self) {
         self.shared.lock().is_listening = false;
@@ -250,6 +267,18 @@
                 Some(http_response(200, &body))
             }
             Reply::Status(status) => Some(http_response(status, "")),
+            Reply::LateStatus(status, delay) => {
+                drop(state);
+                std::thread::sleep(delay);
+                Some(http_response(status, ""))
+            }
+            Reply::LateReset(delay) => {
+                drop(state);
+                std::thread::sleep(delay);
+                // The daemon may have closed the connection meanwhile.
+                let _ = rustix::net::connect_unspec(stream);
+                return false;
+            }
             Reply::InterruptedBody(body) => {
                 let _ =
                     (&*stream).write_all(&http_response(200, &body).as_bytes()[..INTERRUPTED_REPLY_BYTES]);
--- a/tests/daemon/stale_list.rs
+++ b/tests/daemon/stale_list/mod.rs
@@ -4,6 +4,11 @@
 //! discovery is overloaded when the process calls again, its answer may arrive later than that. Requests then
 //! reach the draining server after the grace of its drain.
 //! `docs/incidents/2026-12-03-drain-after-silent-watch.md` describes such a case.
+//!
+//! `overload` has the tests in which discovery runs and does not answer, and `outage` those in which it is down.
+
+mod outage;
+mod overload;
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/tests/policy/endpoint_list.rs
+++ b/tests/policy/endpoint_list.rs
@@ -41,7 +41,7 @@
     let mut harness = Harness::new(settings, &endpoints(1));
     assert!(harness.actions.contains(&Action::WatchEndpoints));
     for _ in 0..10 {
-        harness.handle(Event::EndpointWatchFailed(WatchFailure::Rejected));
+        harness.fail_endpoint_watch(WatchFailure::Rejected);
         let wait = harness.actions.iter().find_map(|action| match action {
             Action::SetTimer(wait) => Some(*wait),
             _ => None,
@@ -65,7 +65,7 @@
         let settings = Settings { balancers, poll_required: true, poll_interval, ..settings() };
         let mut harness = Harness::new(settings, &endpoints(1));
         for failures in 1..=40 {
-            harness.handle(Event::EndpointWatchFailed(WatchFailure::Rejected));
+            harness.fail_endpoint_watch(WatchFailure::Rejected);
             let wait = harness.actions.iter().find_map(|action| match action {
                 Action::SetTimer(wait) => Some(*wait),
                 _ => None,
--- a/tests/policy/fleet.rs
+++ b/tests/policy/fleet.rs
@@ -48,7 +48,7 @@
         }
         for n in failed {
             fleet[n].now = now;
-            fleet[n].handle(Event::EndpointWatchFailed(WatchFailure::Rejected));
+            fleet[n].fail_endpoint_watch(WatchFailure::Rejected);
             let requested = fleet[n].actions.iter().filter_map(|action| match action {
                 Action::SetTimer(wait) => Some(now.plus(*wait)),
                 _ => None,
@@ -314,7 +314,7 @@
             let settings = Settings { balancers, poll_required: true, ..settings() };
             let mut harness = Harness::new(settings, list);
             for _ in 0..30 {
-                harness.handle(Event::EndpointWatchFailed(WatchFailure::Rejected));
+                harness.fail_endpoint_watch(WatchFailure::Rejected);
             }
             let mut placed = 0;
             for _ in 0..200 {
--- a/tests/policy/harness.rs
+++ b/tests/policy/harness.rs
@@ -74,6 +74,11 @@
         self.balancer.handle(self.now, event, &mut self.actions);
     }
 
+    /// Reports a call of discovery that fails at the moment in which it is made.
+    pub(crate) fn fail_endpoint_watch(&mut self, failure: WatchFailure) {
+        self.handle(Event::EndpointWatchFailed { failure, called_at: self.now });
+    }
+
     /// Advances the clock without any event.
     pub(crate) fn advance(&mut self, span: Micros) {
         self.now = self.now.plus(span);
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod ceilings;
 mod connection_load;
+mod endpoint_lease;
 mod endpoint_list;
 mod fleet;
 mod groups_and_zones;
--- a/tests/policy/rules/rule_checker.rs
+++ b/tests/policy/rules/rule_checker.rs
@@ -286,7 +286,10 @@
                 let entry = EndpointEntry { state, started_at, weight, ..RuleChecker::endpoint(server) };
                 self.update_endpoint(entry, is_snapshot);
             }
-            Step::FailEndpointWatch => self.handle(Event::EndpointWatchFailed(WatchFailure::Rejected)),
+            Step::FailEndpointWatch => {
+                let failure = WatchFailure::Rejected;
+                self.handle(Event::EndpointWatchFailed { failure, called_at: self.harness.now });
+            }
             Step::UnexpectedEvents { request, attempt } => {
                 self.apply_unexpected_events(RequestId(request), attempt);
             }
--- a/tests/policy_rules.rs
+++ b/tests/policy_rules.rs
@@ -163,22 +163,33 @@
     );
 }
 
+/// Longest time from a failed call of discovery to the failure of the next one, while discovery is down.
+const LONGEST_WAIT_FOR_CALL: Micros = Micros::from_millis(4_750);
+
 #[test]
 fn the_endpoint_list_expires_only_while_discovery_is_up_and_silent() {
     let mut lease = EndpointLease::default();
     assert_eq!(lease.expires_at(), None);
     lease.on_confirmed(NOW);
     assert!(lease.is_expired(NOW.plus(NOTIFICATION_TIMEOUT)));
-    lease.on_watch_silent(NOW.plus(SECOND), false);
+    lease.on_watch_silent(NOW.plus(SECOND), NOW.plus(SECOND), false);
     assert_eq!(
         lease.expires_at(),
         Some(NOW.plus(NOTIFICATION_TIMEOUT)),
         "the lease of a silent watch counts from the last confirmation"
     );
-    lease.on_watch_failed(WatchFailure::Unreachable, false);
-    assert_eq!(lease.expires_at(), None, "the list does not expire while discovery is down");
-    lease.on_watch_failed(WatchFailure::Rejected, false);
-    assert!(lease.is_expired(NOW.plus(NOTIFICATION_TIMEOUT)), "the list has to expire: discovery is running");
+    let mut now = NOW.plus(2 * SECOND);
+    for _ in 0..20 {
+        lease.on_call_failed(now, WatchFailure::Unreachable, now, false);
+        now = now.plus(LONGEST_WAIT_FOR_CALL);
+        assert!(!lease.is_expired(now), "the list does not expire while discovery is down");
+    }
+    lease.on_call_failed(now, WatchFailure::Rejected, now, false);
+    assert_eq!(
+        lease.expires_at(),
+        Some(NOW.plus(NOTIFICATION_TIMEOUT)),
+        "the list has to expire: discovery is running"
+    );
 }
 
 #[test]
--- a/tests/reducer/admin.rs
+++ b/tests/reducer/admin.rs
@@ -101,7 +101,11 @@
                 Input::ClientDisconnected { connection }
             }
             _ if connection_index == 0 => Input::ShutdownRequested,
-            _ => Input::EndpointWatchLost { pool: PoolId(0), failure: WatchFailure::Rejected },
+            _ => Input::EndpointWatchLost {
+                pool: PoolId(0),
+                failure: WatchFailure::Rejected,
+                polled_ago: Micros::ZERO,
+            },
         }
     }
 
@@ -261,9 +265,17 @@
 #[test]
 fn counts_each_failed_call_to_discovery_once() {
     let mut harness = ReducerHarness::new();
-    harness.feed(Input::EndpointWatchLost { pool: PoolId(0), failure: WatchFailure::Rejected });
+    harness.feed(Input::EndpointWatchLost {
+        pool: PoolId(0),
+        failure: WatchFailure::Rejected,
+        polled_ago: Micros::ZERO,
+    });
     harness.feed(Input::EndpointWatchSilent { pool: PoolId(0), polled_ago: Micros::from_secs(2) });
-    harness.feed(Input::EndpointWatchLost { pool: PoolId(0), failure: WatchFailure::Unanswered });
+    harness.feed(Input::EndpointWatchLost {
+        pool: PoolId(0),
+        failure: WatchFailure::Unanswered,
+        polled_ago: Micros::ZERO,
+    });
     assert_eq!(metrics(&mut harness).discovery_failures, 2);
 }
 
--- a/tests/reducer/attempts.rs
+++ b/tests/reducer/attempts.rs
@@ -252,14 +252,22 @@
     let mut harness = ReducerHarness::new();
     harness.advance(Micros::from_millis(3_500));
     harness.feed(Input::EndpointWatchSilent { pool: PoolId(0), polled_ago: Micros::from_millis(3_500) });
-    harness.feed(Input::EndpointWatchLost { pool: PoolId(0), failure: WatchFailure::Unreachable });
+    harness.feed(Input::EndpointWatchLost {
+        pool: PoolId(0),
+        failure: WatchFailure::Unreachable,
+        polled_ago: Micros::ZERO,
+    });
     harness.advance(Micros::from_secs(4));
     let (forwarded, _) = harness.forward_request();
     let connection = harness.connect_client();
     let effects = harness.feed(Input::ConnectionRequested { connection, request: connection_request() });
     assert!(matches!(effects[..], [Effect::OpenAttempt { attempt: 0, .. }]), "{effects:?}");
 
-    harness.feed(Input::EndpointWatchLost { pool: PoolId(0), failure: WatchFailure::Rejected });
+    harness.feed(Input::EndpointWatchLost {
+        pool: PoolId(0),
+        failure: WatchFailure::Rejected,
+        polled_ago: Micros::ZERO,
+    });
     let effects = harness.feed(Input::TimerFired);
 
     let expired = LogEvent::RequestRefused { connection, reason: RefusalReason::EndpointListExpired };
