Ignore answers of the old discovery after SIGHUP with another address

Seen: by a test for a path that had only been read. An answer of the old discovery that arrives in the wake-up of SIGHUP renewed the lease on the list, so that it was in use 2 s longer than the 4 s after SIGHUP.

Cause: SIGHUP changes the reducer's configuration at once, and the old watch is ended by a command that another task carries out later. In between, the old watch reported its answer as one of the new discovery.

The existing test of this order passed, because the new discovery's list replaced the old one.

Change: after each wait, the follower asks whether the list is still watched at its address, and otherwise reports nothing any more.

--- a/src/routing/endpoint_watch.rs
+++ b/src/routing/endpoint_watch.rs
@@ -19,6 +19,8 @@
 //!
 //! This module owns no state. The pool records when its list was received and whether its expiry was logged.
 
+use std::net::SocketAddr;
+
 use super::connection_table::ConnectionAtServer;
 use super::{Effect, LogEvent, PoolId, State};
 use crate::rebalance::RebalanceEvent;
@@ -93,6 +95,11 @@
         }
     }
 
+    /// Returns whether a pool's endpoint list is watched at this address of discovery.
+    pub fn is_watched_at(&self, pool: PoolId, discovery: SocketAddr) -> bool {
+        self.pools[pool.0].config.discovery == Some(discovery)
+    }
+
     /// Returns the timing of the watch on a pool's endpoint list.
     pub fn endpoint_watch_timing(&self, pool: PoolId) -> EndpointWatchTiming {
         let settings = &self.pools[pool.0].config.settings;
--- a/src/transport/discovery_watch/follower.rs
+++ b/src/transport/discovery_watch/follower.rs
@@ -109,6 +109,7 @@
             tokio::select! {
                 request = requested.recv() => return request.is_some(),
                 finished = wait_for_silent_call(&mut self.silent_call) => {
+                    self.stop_if_replaced().await;
                     if let Some(finished) = self.accept_silent_call_answer(finished) {
                         // An accepted answer is never a failure.
                         let _ = self.apply_result(finished).await;
@@ -119,6 +120,14 @@
         }
     }
 
+    /// Never returns if the configuration names another discovery: what this one answers must not be applied any
+    /// more. The task is then about to be aborted.
+    async fn stop_if_replaced(&self) {
+        if !self.reducer.is_watched_at(self.pool, self.discovery) {
+            pending::<()>().await;
+        }
+    }
+
     fn report_failure(&self, failed: &FailedCall) {
         let FailedCall { error, exchange, waited } = failed;
         let failure = failed.watch_failure();
@@ -133,7 +142,9 @@
         loop {
             let mut call = self.start_call(delay);
             delay = Duration::ZERO;
-            match self.wait_for_answer(&mut call).await {
+            let outcome = self.wait_for_answer(&mut call).await;
+            self.stop_if_replaced().await;
+            match outcome {
                 CallOutcome::Finished(finished) => {
                     if let Err(failed) = self.apply_result(*finished).await {
                         return failed;
--- a/src/transport/reducer.rs
+++ b/src/transport/reducer.rs
@@ -5,6 +5,7 @@
 //! module depends only on the trait; [`assembly`](super::assembly) chooses the implementation.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -118,6 +119,11 @@
         self.0.state.borrow().resource_limits().max_response_bytes
     }
 
+    /// Returns whether a pool's endpoint list is watched at this address of discovery.
+    pub(super) fn is_watched_at(&self, pool: PoolId, discovery: SocketAddr) -> bool {
+        self.0.state.borrow().is_watched_at(pool, discovery)
+    }
+
     /// Returns the timeouts and delays of a pool's watch on its endpoint list.
     pub(super) fn endpoint_watch_timing(&self, pool: PoolId) -> EndpointWatchTiming {
         self.0.state.borrow().endpoint_watch_timing(pool)
--- a/tests/daemon/stale_list/new_address.rs
+++ b/tests/daemon/stale_list/new_address.rs
@@ -9,7 +9,7 @@
     config, connect_and_open, request_until, start_daemon, wait_for_watches, DRAIN_GRACE, SOCKET_SLACK,
 };
 use crate::fake_servers::discovery::{endpoint, Discovery, Reply};
-use crate::fake_servers::ManualServer;
+use crate::fake_servers::{wait_until, ManualServer};
 
 /// Time after SIGHUP with another address of discovery from which changes that it lists count as notified.
 const NOTIFIED_AFTER_SIGHUP: Duration = Duration::from_secs(4);
@@ -77,6 +77,30 @@
     });
 }
 
+/// Guards against an answer of the old discovery that renews the lease after SIGHUP: the answer and the signal
+/// arrive in one wake-up of the daemon.
+#[test]
+fn an_answer_of_the_old_discovery_in_the_wake_up_of_sighup_does_not_extend_the_lease() {
+    std::thread::scope(|scope| {
+        for play in 0..4 {
+            scope.spawn(move || {
+                let case = format!("play {play}");
+                let mut scenario = DrainScenario::start();
+                scenario.daemon.suspend();
+                let lists_sent = scenario.discovery.lists_sent();
+                scenario.discovery.publish_unchanged();
+                wait_until("the old discovery answers", || scenario.discovery.lists_sent() > lists_sent);
+                let _old = scenario.move_discovery(Reply::LateStatus(503, WAIT_BEFORE_FAILURE));
+                let changed_at = Instant::now();
+                scenario.daemon.resume();
+
+                scenario.drain_at(changed_at + DRAIN_DELAY, &case);
+                scenario.expect_no_request_after_the_grace(changed_at + NOTIFIED_AFTER_SIGHUP, &case);
+            });
+        }
+    });
+}
+
 /// Guards against a request that is written after the lease, because its connect began before the new address.
 #[test]
 fn does_not_forward_when_the_connect_completes_after_the_lease_at_a_new_discovery() {
