Hand over the lease on the endpoint list in a hot restart

Cause: the list was handed over without its lease. The successor's lease did not expire, and failed calls kept it.

Change: the lease and its evidence are handed over, limited to 2 s. They are sent as the name of a socket without a descriptor, which earlier versions ignore; without them the limit holds alone.

--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -7,11 +7,14 @@
 //!
 //! **Inputs.** Each answer of discovery, with or without a change (a confirmation); a watch without an answer
 //! when one was expected; a failed call, with the state of discovery that the failure indicates; a new
-//! address of discovery. Each with its time and the time of its call, in microseconds.
+//! address of discovery; the lease of a predecessor. Each with its time and the time of its call, in
+//! microseconds.
 //!
 //! **Rule.** The list expires a fixed time after the last time until which it is known to lack no change.
 //! The fixed time is 6 s, and 4 s from a change of discovery's address to the first answer there. The change
-//! of the address itself limits the lease to 4 s. The time until which the list is known to lack no change is
+//! of the address itself limits the lease to 4 s. The successor of a hot restart continues the lease of its
+//! predecessor, for 2 s at most until an answer or an outage. The time until which the list is known to lack
+//! no change is
 //!
 //! - the last answer;
 //! - if it is later, and no change may have been missed since the answer, the last call whose failure shows
@@ -31,25 +34,15 @@
 //! newer list exists than the old one. An overloaded discovery lets a call wait before the call fails, so
 //! only a failure without a wait shows that discovery is down.
 
-use crate::types::{Micros, Time, WatchFailure};
+use crate::types::{EndpointLeaseState, ListContinuity, Micros, Time, WatchFailure};
 
 /// Time after which a change that discovery lists counts as notified, whether or not it has arrived.
 pub const NOTIFICATION_TIMEOUT: Micros = Micros::from_secs(6);
-
 /// Time after a change of discovery's address from which the changes that it lists there count as notified.
 pub const NEW_ADDRESS_NOTIFICATION_TIMEOUT: Micros = Micros::from_secs(4);
-
-/// Whether the list may lack changes that discovery listed before its last known state.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum ListContinuity {
-    /// Each change since the last answer would have arrived, unless discovery is down.
-    #[default]
-    Continuous,
-    /// The watch became silent. It may have missed changes, unless an outage explains the silence.
-    Silent,
-    /// Discovery ran after the last answer and did not send its changes.
-    Interrupted,
-}
+/// Time after the start of a hot restart's successor from which the changes that discovery lists count as
+/// notified there.
+pub const HOT_RESTART_NOTIFICATION_TIMEOUT: Micros = Micros::from_secs(2);
 
 /// The lease on the endpoint list, and the evidence by which it may be extended.
 #[derive(Clone, Copy, Debug)]
@@ -115,6 +108,21 @@
         self.extension = NEW_ADDRESS_NOTIFICATION_TIMEOUT;
     }
 
+    /// Continues the lease of the predecessor of a hot restart; none if the predecessor did not report it.
+    pub fn on_hot_restart(&mut self, now: Time, predecessor: Option<EndpointLeaseState>) {
+        self.limit_to(now.plus(HOT_RESTART_NOTIFICATION_TIMEOUT));
+        if let Some(EndpointLeaseState { expires_at, continuity }) = predecessor {
+            self.limit_to(expires_at);
+            self.continuity = continuity;
+        }
+    }
+
+    /// Returns the lease for the successor of a hot restart; none if the list does not expire. An outage that
+    /// explains the silence of a watch is not included, because the successor's first call shows it again.
+    pub fn state(self) -> Option<EndpointLeaseState> {
+        Some(EndpointLeaseState { expires_at: self.expires_at?, continuity: self.continuity })
+    }
+
     /// Returns the time until which the list may be used; none if it does not expire.
     pub fn expires_at(self) -> Option<Time> {
         let expires_at = self.expires_at?;
--- a/src/policy/host.rs
+++ b/src/policy/host.rs
@@ -2,7 +2,7 @@
 
 use super::server::Server;
 use super::Balancer;
-use crate::types::{GroupHash, LearnedState, Occupancy, RequestId, ServerId, Time};
+use crate::types::{EndpointLeaseState, GroupHash, LearnedState, Occupancy, RequestId, ServerId, Time};
 
 impl Balancer {
     /// Returns whether the balancer still expects events or may emit actions for a request. If not, the
@@ -32,6 +32,18 @@
         self.endpoint_lease.expires_at()
     }
 
+    /// Returns the lease on the endpoint list, for a balancer that replaces this one; none if the list does
+    /// not expire.
+    pub fn endpoint_lease(&self) -> Option<EndpointLeaseState> {
+        self.endpoint_lease.state()
+    }
+
+    /// Continues the lease on the endpoint list of another balancer, which this one replaces; none if that
+    /// is unknown.
+    pub fn import_endpoint_lease(&mut self, now: Time, lease: Option<EndpointLeaseState>) {
+        self.endpoint_lease.on_hot_restart(now, lease);
+    }
+
     /// Returns whether a listed server counts as `ejected` in metrics: it is ejected, or it is full and had a
     /// recent fault. Selection does not use this; it checks each rule separately.
     pub fn counts_as_ejected(&self, now: Time, server: ServerId) -> bool {
--- a/src/protocol/hot_restart/decode.rs
+++ b/src/protocol/hot_restart/decode.rs
@@ -4,6 +4,7 @@
 use winnow::combinator::{dispatch, fail, preceded};
 use winnow::{ModalResult, Parser};
 
+use super::endpoint_lease::{self, PoolLease};
 use super::{flag, lifecycle, message_tag, part_tag, HandoverMessage, StatePart, MAGIC};
 use crate::policy::outlier_detection::MAX_FAILURE_SCORE;
 use crate::routing::store::{Entry, KeyedEntry, ReplicatedMap};
@@ -148,10 +149,20 @@
     Ok(HandoverMessage::ShareExclusion { number, server, excluded })
 }
 
+/// Returns the message of a socket with this name.
+fn socket_message(name: String) -> HandoverMessage {
+    match endpoint_lease::parse_socket_name(&name) {
+        Some(PoolLease { pool, lease }) => {
+            HandoverMessage::StatePart(StatePart::EndpointLease { pool, lease })
+        }
+        None => HandoverMessage::Socket(name),
+    }
+}
+
 fn parse_message(input: &mut &[u8]) -> ModalResult<HandoverMessage> {
     dispatch! {u8;
         message_tag::REQUEST_STATE => ().value(HandoverMessage::RequestState),
-        message_tag::SOCKET => parse_text.map(HandoverMessage::Socket),
+        message_tag::SOCKET => parse_text.map(socket_message),
         message_tag::PART => parse_part.map(HandoverMessage::StatePart),
         message_tag::DONE => ().value(HandoverMessage::Done),
         message_tag::SERVING => ().value(HandoverMessage::Serving),
--- a/src/protocol/hot_restart/encode.rs
+++ b/src/protocol/hot_restart/encode.rs
@@ -1,5 +1,6 @@
 //! Encoding of messages.
 
+use super::endpoint_lease;
 use super::{flag, lifecycle, message_tag, part_tag, HandoverMessage, StatePart, MAGIC, MAX_MESSAGE_LENGTH};
 use crate::routing::store::KeyedEntry;
 use crate::routing::{Endpoint, Lifecycle, TransferredConnection};
@@ -120,34 +121,45 @@
             .optional_time(&established.awaiting_server_since)
     }
 
+    fn socket(&mut self, name: &str) -> &mut Encoder {
+        self.byte(message_tag::SOCKET).text(name)
+    }
+
+    fn part_of_kind(&mut self, kind: u8) -> &mut Encoder {
+        self.byte(message_tag::PART).byte(kind)
+    }
+
     fn part(&mut self, part: &StatePart) -> &mut Encoder {
         match part {
-            StatePart::Excluded(server) => self.byte(part_tag::EXCLUDED).text(server),
-            StatePart::EverListed(server) => self.byte(part_tag::EVER_LISTED).text(server),
+            StatePart::Excluded(server) => self.part_of_kind(part_tag::EXCLUDED).text(server),
+            StatePart::EverListed(server) => self.part_of_kind(part_tag::EVER_LISTED).text(server),
             StatePart::Entry(KeyedEntry { key, entry }) => self
-                .byte(part_tag::ENTRY)
+                .part_of_kind(part_tag::ENTRY)
                 .text(key)
                 .u64(entry.counter)
                 .text(&entry.node)
                 .optional_text(&entry.value),
             StatePart::Endpoint { pool, endpoint, learned_state } => self
-                .byte(part_tag::ENDPOINT)
+                .part_of_kind(part_tag::ENDPOINT)
                 .text(pool)
                 .endpoint(endpoint)
                 .optional(learned_state, |encoder, learned_state| encoder.learned_state(learned_state)),
+            StatePart::EndpointLease { pool, lease } => {
+                self.socket(&endpoint_lease::socket_name(pool, *lease))
+            }
             StatePart::Readmitted { pool, server, readmitted_at } => {
-                self.byte(part_tag::READMITTED).text(pool).text(server).time(*readmitted_at)
+                self.part_of_kind(part_tag::READMITTED).text(pool).text(server).time(*readmitted_at)
             }
-            StatePart::RequestId { pool, id } => self.byte(part_tag::ID).text(pool).text(id),
-            StatePart::OpenDescriptors(count) => self.byte(part_tag::OPEN_DESCRIPTORS).u64(*count),
+            StatePart::RequestId { pool, id } => self.part_of_kind(part_tag::ID).text(pool).text(id),
+            StatePart::OpenDescriptors(count) => self.part_of_kind(part_tag::OPEN_DESCRIPTORS).u64(*count),
         }
     }
 
     fn message(&mut self, message: &HandoverMessage) -> &mut Encoder {
         match message {
             HandoverMessage::RequestState => self.byte(message_tag::REQUEST_STATE),
-            HandoverMessage::Socket(name) => self.byte(message_tag::SOCKET).text(name),
-            HandoverMessage::StatePart(part) => self.byte(message_tag::PART).part(part),
+            HandoverMessage::Socket(name) => self.socket(name),
+            HandoverMessage::StatePart(part) => self.part(part),
             HandoverMessage::Done => self.byte(message_tag::DONE),
             HandoverMessage::Serving => self.byte(message_tag::SERVING),
             HandoverMessage::EstablishedConnection { front, established, state } => self
--- a/src/protocol/hot_restart/mod.rs
+++ b/src/protocol/hot_restart/mod.rs
@@ -4,13 +4,14 @@
 
 mod decode;
 mod encode;
+mod endpoint_lease;
 
 pub use decode::decode;
 pub use encode::encode;
 
 use crate::routing::store::KeyedEntry;
 use crate::routing::{Endpoint, ExportedEndpoint, HandoverState, Readmission, TransferredConnection};
-use crate::{LearnedState, Time};
+use crate::{EndpointLeaseState, LearnedState, Time};
 
 /// Maximum length of a message, in bytes.
 pub const MAX_MESSAGE_LENGTH: usize = 16 << 10;
@@ -131,6 +132,14 @@
         /// State learned of the endpoint's server, or `None` if the pool's balancer does not know the server.
         learned_state: Option<LearnedState>,
     },
+    /// Lease on a pool's endpoint list. It is encoded as a [`HandoverMessage::Socket`], which processes of
+    /// earlier versions ignore.
+    EndpointLease {
+        /// Name of the pool.
+        pool: String,
+        /// State of the lease.
+        lease: EndpointLeaseState,
+    },
     /// Server of a pool that an operator has readmitted.
     Readmitted {
         /// Name of the pool.
@@ -157,6 +166,8 @@
     parts.extend(state.known_server_names.into_iter().map(StatePart::EverListed));
     parts.extend(state.entries.into_iter().map(StatePart::Entry));
     for (name, pool) in state.pools {
+        let lease = pool.endpoint_lease;
+        parts.extend(lease.map(|lease| StatePart::EndpointLease { pool: name.clone(), lease }));
         parts.extend(pool.endpoints.into_iter().map(|ExportedEndpoint { endpoint, learned_state }| {
             StatePart::Endpoint { pool: name.clone(), endpoint, learned_state }
         }));
@@ -181,6 +192,9 @@
         StatePart::Endpoint { pool, endpoint, learned_state } => {
             state.pools.entry(pool).or_default().endpoints.push(ExportedEndpoint { endpoint, learned_state });
         }
+        StatePart::EndpointLease { pool, lease } => {
+            state.pools.entry(pool).or_default().endpoint_lease = Some(lease);
+        }
         StatePart::Readmitted { pool, server, readmitted_at } => {
             state.pools.entry(pool).or_default().readmitted.push(Readmission { server, readmitted_at });
         }
--- a/src/routing/handover_state.rs
+++ b/src/routing/handover_state.rs
@@ -6,7 +6,7 @@
 
 use super::store::KeyedEntry;
 use super::{ConnectionRequest, Endpoint};
-use crate::{LearnedState, Time};
+use crate::{EndpointLeaseState, LearnedState, Time};
 
 /// State of an established connection that is transferred to the successor.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -42,6 +42,9 @@
 /// State of one pool that a process exports to its successor.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PoolHandoverState {
+    /// Lease on the pool's endpoint list, or `None` if the list does not expire or the exporting process is of
+    /// a version that does not export the lease.
+    pub endpoint_lease: Option<EndpointLeaseState>,
     /// Servers of the pool's endpoint list as received, with the state learned about each.
     pub endpoints: Vec<ExportedEndpoint>,
     /// Servers that were readmitted within the slow-start duration.
--- a/src/routing/hot_restart.rs
+++ b/src/routing/hot_restart.rs
@@ -113,7 +113,7 @@
         for pool_id in (0..self.pools.len()).map(PoolId) {
             let pool = &mut self.pools[pool_id.0];
             let Some(pool_state) = state.pools.get(pool.config.name) else { continue };
-            pool.import_state(pool_state);
+            pool.import_state(now, pool_state);
             self.refresh_endpoints(now, pool_id);
             self.pools[pool_id.0].import_learned_state(pool_state);
         }
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -172,19 +172,21 @@
             learned_state: self.balancer.learned_state(server_id(&endpoint.name)),
         };
         PoolHandoverState {
+            endpoint_lease: self.balancer.endpoint_lease(),
             endpoints: self.listed.by_name().values().map(export).collect(),
             readmitted: self.exclusions.readmitted(),
             request_ids: self.admitted.client_ids(),
         }
     }
 
-    /// Imports the predecessor's endpoint list, readmissions and client-chosen ids.
-    pub(super) fn import_state(&mut self, state: &PoolHandoverState) {
+    /// Imports the predecessor's endpoint list with its lease, readmissions and client-chosen ids.
+    pub(super) fn import_state(&mut self, now: Time, state: &PoolHandoverState) {
         self.exclusions.import_readmitted(&state.readmitted);
         self.admitted.import_client_ids(&state.request_ids);
         // Without discovery, the list is read from this process's own configuration.
         if self.config.discovery.is_some() && !state.endpoints.is_empty() {
             self.listed.import(state.endpoints.iter().map(|exported| &exported.endpoint));
+            self.balancer.import_endpoint_lease(now, state.endpoint_lease);
         }
     }
 
--- a/src/transport/daemon/start.rs
+++ b/src/transport/daemon/start.rs
@@ -210,14 +210,15 @@
     tokio::task::spawn_local(socket.receive(assembly.reducer.clone(), pool, peers.allowed_senders.clone()));
 }
 
-/// Starts the tasks that probe servers and watch endpoint lists, and the watch on a pool's endpoint list.
-fn start_discovery(assembly: &Assembly, pool: PoolId, discovery: SocketAddr, generation: u64) {
+/// Starts the tasks that probe servers and watch endpoint lists, and the watch on a pool's endpoint list. If
+/// this process has a list of discovery, `generation` is the generation of that list.
+fn start_discovery(assembly: &Assembly, pool: PoolId, discovery: SocketAddr, generation: Option<u64>) {
     let Assembly { reducer, effects, .. } = assembly;
     let commands = effects.probes.open_channel();
     tokio::task::spawn_local(probes::run_probes(reducer.clone(), commands));
     let commands = effects.watches.open_channel();
     tokio::task::spawn_local(discovery_watch::run_watches(reducer.clone(), commands));
-    effects.watches.pass(WatchCommand::Start { pool, discovery, generation: Some(generation) });
+    effects.watches.pass(WatchCommand::Start { pool, discovery, generation });
 }
 
 /// Opens the platform's front, and starts the watch, the probes and the gossip of its pool.
@@ -228,7 +229,10 @@
     received: Option<&mut ReceivedState>,
 ) -> Result<Acceptor, TransportError> {
     if let Some(discovery) = platform.pool.discovery {
-        start_discovery(&daemon.assembly, pool, discovery, platform.cached_endpoints.generation);
+        // The list of a predecessor is not the cached one. Besides, discovery holds a call for changes for longer
+        // than the lease of such a list, and answers a call for a snapshot at once.
+        let generation = received.is_none().then_some(platform.cached_endpoints.generation);
+        start_discovery(&daemon.assembly, pool, discovery, generation);
     }
     if let Some(peers) = &platform.peers {
         match bind_shared_datagrams(peers.listen) {
--- /dev/null
+++ b/src/types/endpoint_lease.rs
@@ -0,0 +1,25 @@
+//! The state of the lease on the endpoint list that a hot restart transfers. `policy::endpoint_lease` has the
+//! rule.
+
+use super::Time;
+
+/// Whether the list may lack changes that discovery listed after its last answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ListContinuity {
+    /// Each change since the last answer would have arrived, unless discovery is down.
+    #[default]
+    Continuous,
+    /// The watch became silent. It may have missed changes, unless an outage explains the silence.
+    Silent,
+    /// Discovery ran after the last answer and did not send its changes.
+    Interrupted,
+}
+
+/// State of a lease on the endpoint list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointLeaseState {
+    /// Time at which the list expires.
+    pub expires_at: Time,
+    /// Whether the list may lack changes.
+    pub continuity: ListContinuity,
+}
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod endpoint;
+mod endpoint_lease;
 mod event;
 mod ids;
 mod load;
@@ -15,6 +16,7 @@
 
 pub use action::{Action, RefusalReason};
 pub use endpoint::{EndpointEntry, EndpointState, LearnedState, Occupancy};
+pub use endpoint_lease::{EndpointLeaseState, ListContinuity};
 pub use event::{Event, Outcome, WatchFailure};
 pub use ids::{CellId, ClassId, ConnectionId, GroupHash, GroupId, RequestId, ServerId, TenantId, ZoneId};
 pub use load::{LoadReport, Measurement};
--- a/tests/reducer/hot_restart/messages.rs
+++ b/tests/reducer/hot_restart/messages.rs
@@ -3,7 +3,8 @@
 use connection_balancer::protocol::hot_restart::{decode, encode, HandoverMessage, StatePart};
 use connection_balancer::routing::store::{Entry, KeyedEntry};
 use connection_balancer::routing::*;
-use connection_balancer::{LearnedState, Time};
+use connection_balancer::ListContinuity::{self, Continuous, Interrupted, Silent};
+use connection_balancer::{EndpointLeaseState, LearnedState, Time};
 use proptest::prelude::*;
 
 fn optional_time() -> impl Strategy<Value = Option<Time>> {
@@ -78,6 +79,12 @@
                 HandoverMessage::StatePart(StatePart::Endpoint { pool, endpoint, learned_state })
             }
         ),
+        (name(), any::<u64>(), prop::sample::select(vec![Continuous, Silent, Interrupted])).prop_map(
+            |(pool, expires_at, continuity)| {
+                let lease = EndpointLeaseState { expires_at: Time(expires_at), continuity };
+                HandoverMessage::StatePart(StatePart::EndpointLease { pool, lease })
+            }
+        ),
         ("[a-z]{1,40}", 1u64..99, prop::option::of(name())).prop_map(|(key, counter, value)| {
             HandoverMessage::StatePart(StatePart::Entry(KeyedEntry {
                 key,
@@ -134,6 +141,8 @@
     };
     let endpoint_part =
         StatePart::Endpoint { pool: "irc".to_owned(), endpoint, learned_state: Some(learned) };
+    let lease = EndpointLeaseState { expires_at: Time(12), continuity: ListContinuity::Silent };
+    let lease_part = StatePart::EndpointLease { pool: "irc".to_owned(), lease };
     let share_exclusion =
         HandoverMessage::ShareExclusion { number: 5, server: "s-1".to_owned(), excluded: true };
     let request_admitted =
@@ -148,6 +157,7 @@
             HandoverMessage::StatePart(StatePart::OpenDescriptors(6)),
             r"SGH1PL\x00\x00\x00\x00\x00\x00\x00\x06",
         ),
+        (HandoverMessage::StatePart(lease_part), r"SGH1S\x00\x1cendpoint-lease 12 silent irc"),
         (
             HandoverMessage::StatePart(endpoint_part),
             r"SGH1PH\x00\x03irc\x00\x03s-1\x00\x03a:1\x00\x01z\x00\x00\x00\x02\x01?\xf8\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x00\x0b\x01@\x12\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x00\x07\x00\x00\x00\x03\x00\x00\x00\x00\x00\x00\x00\x00\x08\x00\x00\x00\x00\x00\x00\x00\t\x01\x00\x00\x00\x00\x00\x00\x00\n",
--- a/tests/reducer/hot_restart/mod.rs
+++ b/tests/reducer/hot_restart/mod.rs
@@ -1,5 +1,6 @@
 //! Hot restart: the reducers of a predecessor and a successor, and the messages between them.
 
+mod endpoint_lease;
 mod messages;
 mod random_steps;
 mod state;
