Limit the lease on a cached endpoint list from the start of the watch

Seen: by a test for a path that had only been read. A balancer that starts beside an overloaded discovery uses its cached list without a limit, also for servers that begin to drain.

Cause: the lease began with discovery's first answer. The state before it stood for a list that nothing watches too, such as that of the IRC front, which must not expire.

Evidence: tests/daemon/stale_list/first_start.rs failed before with 503 and resets after a wait and with invalid answers (requests 2.6 s after the grace, when the test ends).

Change: the start of the first watch is an event, and limits the lease to 6 s.

Result: the tests of the lease, of the policy and of a start during an outage (no request refused in 16 s) pass.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,7 +23,8 @@
 //!   timers may run at the same time. A timer that is no longer needed has no effect.
 //! * The host answers [`Action::WatchEndpoints`] with a complete list, a change of the list, or
 //!   [`Event::EndpointWatchFailed`]. Reporting [`Event::EndpointListConfirmed`] is optional. A host that has
-//!   reported it once reports it with each answer; otherwise the list expires. [`Event::EndpointWatchSilent`]
+//!   reported it once, or [`Event::EndpointWatchStarted`], reports it with each answer; otherwise the list
+//!   expires. [`Event::EndpointWatchSilent`]
 //!   reports that an answer is late, and does not end the call.
 //!
 //! A violation of these requirements does not cause a panic: events of unknown or finished requests are
--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -5,10 +5,10 @@
 //! connection is migrated for load, and no server is probed. Established connections are kept. An attempt
 //! whose request is not written before the list expires is withdrawn.
 //!
-//! **Inputs.** Each answer of discovery, with or without a change (a confirmation); a watch without an answer
-//! when one was expected; a failed call, with the state of discovery that the failure indicates; a new
-//! address of discovery; the lease of a predecessor. Each with its time and the time of its call, in
-//! microseconds.
+//! **Inputs.** The start of the watch; each answer of discovery, with or without a change (a confirmation);
+//! a watch without an answer when one was expected; a failed call, with the state of discovery that the
+//! failure indicates; a new address of discovery; the lease of a predecessor. Each with its time and the time
+//! of its call, in microseconds.
 //!
 //! **Rule.** The list expires a fixed time after the last time until which it is known to lack no change.
 //! The fixed time is 6 s, and 4 s from a change of discovery's address to the first answer there. The change
@@ -16,7 +16,7 @@
 //! predecessor, for 2 s at most until an answer or an outage. The time until which the list is known to lack
 //! no change is
 //!
-//! - the last answer;
+//! - the last answer, or the start of the watch before there is one;
 //! - if it is later, and no change may have been missed since the answer, the last call whose failure shows
 //!   that discovery is down;
 //! - if the watch became silent, the call of the watch, if it is earlier. While an outage explains the
@@ -24,8 +24,8 @@
 //!
 //! A call that fails after a wait shows that discovery runs. From then on only an answer extends the lease.
 //! No failure makes a list that expires one that does not. The section "The lease on the endpoint list" of
-//! `docs/design.md` has a table of all states and events. A host that reports neither an answer nor a silent
-//! watch has a list that does not expire.
+//! `docs/design.md` has a table of all states and events. A host that reports neither the start of a watch
+//! nor an answer nor a silent watch has a list that does not expire.
 //!
 //! **Why.** A silent watch looks the same as a watch without changes, and an overloaded discovery fails calls
 //! with the same answers as one that is down. Each change that discovery lists counts as notified 6 s later,
@@ -70,6 +70,11 @@
 }
 
 impl EndpointLease {
+    /// Limits the lease when the first watch on the list starts. The list may be a cached one of unknown age.
+    pub fn on_watch_started(&mut self, now: Time) {
+        self.limit_to(now.plus(NOTIFICATION_TIMEOUT));
+    }
+
     /// Renews the lease when discovery has answered.
     pub fn on_confirmed(&mut self, now: Time) {
         let expires_at = Some(now.plus(NOTIFICATION_TIMEOUT));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -156,6 +156,7 @@
                 self.on_endpoints_applied();
             }
             Event::EndpointListConfirmed => self.endpoint_lease.on_confirmed(self.now),
+            Event::EndpointWatchStarted => self.endpoint_lease.on_watch_started(self.now),
             Event::DiscoveryAddressChanged => self.endpoint_lease.on_address_changed(self.now),
             Event::EndpointWatchSilent { called_at } => {
                 self.endpoint_lease.on_watch_silent(self.now, called_at, self.settings.endpoints_pushed);
--- a/src/routing/endpoint_watch.rs
+++ b/src/routing/endpoint_watch.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Handles the start of the first watch. Until discovery answers, the list is a cached one, or that of a
+    /// predecessor.
+    pub(super) fn on_endpoint_watch_started(&mut self, now: Time, pool: PoolId) {
+        self.dispatch(now, pool, Event::EndpointWatchStarted);
+    }
+
     /// Handles a poll that was sent `polled_ago` before now and was not answered in time. The driver repeats
     /// the poll.
     pub(super) fn on_endpoint_watch_silent(&mut self, now: Time, pool: PoolId, polled_ago: Micros) {
--- a/src/routing/input.rs
+++ b/src/routing/input.rs
@@ -125,6 +125,11 @@
         /// How the probe ended, with the load report if the server sent one.
         outcome: ProbeOutcome,
     },
+    /// The first watch on a pool's endpoint list starts.
+    EndpointWatchStarted {
+        /// The pool whose list is watched.
+        pool: PoolId,
+    },
     /// The watch on a pool's endpoint list broke, or could not be established.
     EndpointWatchLost {
         /// The pool whose list was watched.
--- a/src/routing/reducer.rs
+++ b/src/routing/reducer.rs
@@ -43,6 +43,7 @@
             Input::EndpointsUpdated { pool, is_snapshot, endpoints } => {
                 self.on_endpoints_updated(now, pool, is_snapshot, endpoints);
             }
+            Input::EndpointWatchStarted { pool } => self.on_endpoint_watch_started(now, pool),
             Input::EndpointWatchLost { pool, failure, polled_ago } => {
                 self.on_endpoint_watch_lost(now, pool, failure, polled_ago);
             }
--- a/src/transport/daemon/start.rs
+++ b/src/transport/daemon/start.rs
@@ -218,6 +218,7 @@
     tokio::task::spawn_local(probes::run_probes(reducer.clone(), commands));
     let commands = effects.watches.open_channel();
     tokio::task::spawn_local(discovery_watch::run_watches(reducer.clone(), commands));
+    reducer.feed(Input::EndpointWatchStarted { pool });
     effects.watches.pass(WatchCommand::Start { pool, discovery, generation });
 }
 
--- a/src/types/event.rs
+++ b/src/types/event.rs
@@ -63,6 +63,8 @@
     EndpointListChanged(&'a [EndpointEntry]),
     /// Discovery has answered: the endpoint list is up to date.
     EndpointListConfirmed,
+    /// The host has begun to watch the endpoint list, which may be a cached one.
+    EndpointWatchStarted,
     /// Discovery has a new address. Calls at the old address are not reported from now on.
     DiscoveryAddressChanged,
     /// A watch on the endpoint list was not answered when an answer was due.
--- a/tests/daemon/stale_list/drain_scenario.rs
+++ b/tests/daemon/stale_list/drain_scenario.rs
@@ -22,12 +22,20 @@
 }
 
 impl DrainScenario {
+    /// Starts a daemon and waits until discovery holds its calls.
     pub(super) fn start() -> DrainScenario {
+        let scenario = DrainScenario::start_with_reply(Reply::EndpointList);
+        wait_for_watches(&scenario.discovery, 1);
+        scenario
+    }
+
+    /// Starts a daemon that has a cached list, and whose calls get this reply from the start.
+    pub(super) fn start_with_reply(reply: Reply) -> DrainScenario {
         let (draining, other) = (RecordingServer::start(), RecordingServer::start());
         let known = ready_list(&draining, &other);
         let discovery = serve_list(&known);
+        discovery.set_reply(reply);
         let daemon = start_daemon(&discovery, "on_request", &known);
-        wait_for_watches(&discovery, 1);
         DrainScenario { draining, other, discovery, daemon }
     }
 
--- a/tests/daemon/stale_list/mod.rs
+++ b/tests/daemon/stale_list/mod.rs
@@ -9,6 +9,7 @@
 //! `new_address` those in which the configuration names another discovery.
 
 mod drain_scenario;
+mod first_start;
 mod hot_restart;
 mod new_address;
 mod outage;
--- a/tests/policy/endpoint_lease.rs
+++ b/tests/policy/endpoint_lease.rs
@@ -51,9 +51,11 @@
     Silent,
     Failed(WatchFailure),
     AddressChanged,
+    Started,
 }
 
-const EVENTS: [WatchEvent; 8] = [
+const EVENTS: [WatchEvent; 9] = [
+    WatchEvent::Started,
     WatchEvent::Confirmed,
     WatchEvent::AddressChanged,
     WatchEvent::Silent,
@@ -98,6 +100,7 @@
             WatchEvent::Confirmed => Event::EndpointListConfirmed,
             WatchEvent::Silent => Event::EndpointWatchSilent { called_at },
             WatchEvent::AddressChanged => Event::DiscoveryAddressChanged,
+            WatchEvent::Started => Event::EndpointWatchStarted,
             WatchEvent::Failed(failure) => Event::EndpointWatchFailed { failure, called_at },
         });
     }
@@ -139,6 +142,11 @@
     match (event, state) {
         (WatchEvent::Confirmed, _) => (Some(11_000), State::Continuous),
 
+        (WatchEvent::Started, State::NoLease) => (Some(11_000), State::Continuous),
+        (WatchEvent::Started, State::SilentInOutage) => (Some(10_000), State::Silent),
+        (WatchEvent::Started, _) if is_silent && is_pushed => (Some(9_500), State::Silent),
+        (WatchEvent::Started, state) => (Some(6_000), state),
+
         (WatchEvent::AddressChanged, State::NoLease) => (Some(9_000), State::NewAddress),
         (WatchEvent::AddressChanged, State::Continuous | State::NewAddress) => {
             (Some(6_000), State::NewAddress)
@@ -221,6 +229,7 @@
     fn record(&mut self, event: WatchEvent, now: Micros, called_at: Micros, is_pushed: bool) {
         match event {
             WatchEvent::Confirmed => *self = LeaseBound { expires_at: now + LEASE, ..LeaseBound::new() },
+            WatchEvent::Started => self.expires_at = self.expires_at.min(now + LEASE),
             WatchEvent::AddressChanged => {
                 self.expires_at = self.expires_at.min(now + LEASE_AT_NEW_ADDRESS);
                 self.extension = LEASE_AT_NEW_ADDRESS;
