Hold a successor's first call against a list without changes, and a list that is not watched

Cause: the test of a successor's requests passed with a held first call, because discovery's generation was newer than the cached one. No test held that a list without a watch does not expire.

A test in virtual time has a list that nothing watches.

--- a/tests/daemon/stale_list/hot_restart.rs
+++ b/tests/daemon/stale_list/hot_restart.rs
@@ -7,7 +7,7 @@
 use super::overload::{DRAIN_DELAY, WAIT_BEFORE_FAILURE};
 use super::{request_until, DRAIN_GRACE, NOTIFIED_AFTER, SOCKET_SLACK};
 use crate::fake_servers::discovery::Reply;
-use crate::fake_servers::Daemon;
+use crate::fake_servers::{wait_until, Daemon};
 
 /// Time after a successor is ready from which the changes that discovery lists count as notified there.
 const NOTIFIED_AFTER_HOT_RESTART: Duration = Duration::from_secs(2);
@@ -60,7 +60,10 @@
     std::thread::scope(|scope| {
         for (case, change, duration) in cases {
             scope.spawn(move || {
-                let mut scenario = DrainScenario::start();
+                // The list of the discovery has the generation of the cached one, so that a call for changes
+                // is held.
+                let mut scenario = DrainScenario::start_with_reply(Reply::EndpointList);
+                wait_until("the first call is held", || scenario.discovery.open_calls() == 1);
                 change(&scenario);
                 let _predecessor = restart(&mut scenario);
 
--- a/tests/reducer/attempts.rs
+++ b/tests/reducer/attempts.rs
@@ -244,6 +244,17 @@
     assert!(matches!(effects[..], [Effect::OpenAttempt { .. }]), "{effects:?}");
 }
 
+/// Guards against a lease on a list that nothing renews, such as the settings file of the IRC front: it is not
+/// watched at discovery.
+#[test]
+fn a_list_that_is_not_watched_does_not_expire() {
+    let mut harness = ReducerHarness::new();
+    harness.advance(Micros::from_secs(24 * 3600));
+    let connection = harness.connect_client();
+    let effects = harness.feed(Input::ConnectionRequested { connection, request: connection_request() });
+    assert!(matches!(effects[..], [Effect::OpenAttempt { .. }]), "{effects:?}");
+}
+
 /// The watch becomes silent, and then discovery is unreachable: the list remains in use. When discovery is
 /// reachable again and answers only errors, the changes that it listed before count as notified, so the list
 /// has expired. A request that is not written yet must then not be sent to any server.
