Simplify the encoding of the lease, and say what the time of a failure cannot show

Cause: the comments said that the time of a failure distinguishes an overload from an outage. The encoding had a struct for its parts, a default for a word that is always found, and a derived Default that nothing used.

The name of the lease's socket is parsed straight into the part of the state. Comments are wrapped.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,8 +24,7 @@
 //! * The host answers [`Action::WatchEndpoints`] with a complete list, a change of the list, or
 //!   [`Event::EndpointWatchFailed`]. Reporting [`Event::EndpointListConfirmed`] is optional. A host that has
 //!   reported it once, or [`Event::EndpointWatchStarted`], reports it with each answer; otherwise the list
-//!   expires. [`Event::EndpointWatchSilent`]
-//!   reports that an answer is late, and does not end the call.
+//!   expires. [`Event::EndpointWatchSilent`] reports that an answer is late, and does not end the call.
 //!
 //! A violation of these requirements does not cause a panic: events of unknown or finished requests are
 //! ignored. A missing [`Event::AttemptEnded`] leaves slots occupied. A missing [`Event::TimerFired`] delays
--- a/src/policy/endpoint_lease.rs
+++ b/src/policy/endpoint_lease.rs
@@ -22,7 +22,8 @@
 //! - if the watch became silent, the call of the watch, if it is earlier. While an outage explains the
 //!   silence, the lease counts from the last call that shows the outage.
 //!
-//! A call that fails after a wait shows that discovery runs. From then on only an answer extends the lease.
+//! After a call that waited before it failed, discovery is assumed to run. Only an answer then extends the
+//! lease.
 //! No failure makes a list that expires one that does not. The section "The lease on the endpoint list" of
 //! `docs/design.md` has a table of all states and events. A host that reports neither the start of a watch
 //! nor an answer nor a silent watch has a list that does not expire.
@@ -31,8 +32,9 @@
 //! with the same answers as one that is down. Each change that discovery lists counts as notified 6 s later,
 //! whether or not it has arrived here. From then on each server of the old list may be draining, and attempts
 //! at a draining server must end within the drain grace. While discovery is down it lists no changes, so no
-//! newer list exists than the old one. An overloaded discovery lets a call wait before the call fails, so
-//! only a failure without a wait shows that discovery is down.
+//! newer list exists than the old one. An overloaded discovery lets a call wait for its turn before the call
+//! fails. A discovery that is down may do so too, and its list then expires: an overload that is taken for an
+//! outage would send requests to draining servers, while the reverse only refuses them.
 
 use crate::types::{EndpointLeaseState, ListContinuity, Micros, Time, WatchFailure};
 
--- a/src/protocol/hot_restart/decode.rs
+++ b/src/protocol/hot_restart/decode.rs
@@ -4,8 +4,7 @@
 use winnow::combinator::{dispatch, fail, preceded};
 use winnow::{ModalResult, Parser};
 
-use super::endpoint_lease::{self, PoolLease};
-use super::{flag, lifecycle, message_tag, part_tag, HandoverMessage, StatePart, MAGIC};
+use super::{endpoint_lease, flag, lifecycle, message_tag, part_tag, HandoverMessage, StatePart, MAGIC};
 use crate::policy::outlier_detection::MAX_FAILURE_SCORE;
 use crate::routing::store::{Entry, KeyedEntry, ReplicatedMap};
 use crate::routing::{ConnectionRequest, Endpoint, Lifecycle, TransferredConnection};
@@ -152,9 +151,7 @@
 /// Returns the message of a socket with this name.
 fn socket_message(name: String) -> HandoverMessage {
     match endpoint_lease::parse_socket_name(&name) {
-        Some(PoolLease { pool, lease }) => {
-            HandoverMessage::StatePart(StatePart::EndpointLease { pool, lease })
-        }
+        Some(lease) => HandoverMessage::StatePart(lease),
         None => HandoverMessage::Socket(name),
     }
 }
--- a/src/protocol/hot_restart/encode.rs
+++ b/src/protocol/hot_restart/encode.rs
@@ -1,7 +1,9 @@
 //! Encoding of messages.
 
-use super::endpoint_lease;
-use super::{flag, lifecycle, message_tag, part_tag, HandoverMessage, StatePart, MAGIC, MAX_MESSAGE_LENGTH};
+use super::{
+    endpoint_lease, flag, lifecycle, message_tag, part_tag, HandoverMessage, StatePart, MAGIC,
+    MAX_MESSAGE_LENGTH,
+};
 use crate::routing::store::KeyedEntry;
 use crate::routing::{Endpoint, Lifecycle, TransferredConnection};
 use crate::{LearnedState, Time};
--- a/src/routing/configuration.rs
+++ b/src/routing/configuration.rs
@@ -2,9 +2,9 @@
 //!
 //! The new configuration is complete and checked when it arrives here, and it is applied in one step.
 //! Connections, exclusions and the learned state of servers remain. The endpoint list also remains, until the
-//! watch at a new discovery address delivers another one or the list's lease ends. Classes, tenants and zones keep their numbers
-//! ([`PoolConfig::renumbered_like`]), because connections and the balancer refer to them by number. The
-//! number of pools does not change.
+//! watch at a new discovery address delivers another one or the list's lease ends. Classes, tenants and zones
+//! keep their numbers ([`PoolConfig::renumbered_like`]), because connections and the balancer refer to them by
+//! number. The number of pools does not change.
 
 use std::net::SocketAddr;
 
--- a/src/transport/daemon/start.rs
+++ b/src/transport/daemon/start.rs
@@ -230,8 +230,8 @@
     received: Option<&mut ReceivedState>,
 ) -> Result<Acceptor, TransportError> {
     if let Some(discovery) = platform.pool.discovery {
-        // The list of a predecessor is not the cached one. Besides, discovery holds a call for changes for longer
-        // than the lease of such a list, and answers a call for a snapshot at once.
+        // The list of a predecessor is not the cached one. Discovery answers a call for a snapshot at once, and
+        // holds a call for changes for longer than the lease of a predecessor's list.
         let generation = received.is_none().then_some(platform.cached_endpoints.generation);
         start_discovery(&daemon.assembly, pool, discovery, generation);
     }
--- a/src/transport/discovery_watch/failed_call.rs
+++ b/src/transport/discovery_watch/failed_call.rs
@@ -1,7 +1,9 @@
 //! A failed call of discovery, and the state of discovery that the failure indicates.
 //!
-//! An overloaded discovery and one that is down fail calls with the same statuses and resets. An overloaded
-//! discovery lets a call wait for its turn first, so the time of the call distinguishes them.
+//! An overloaded discovery and one that is down fail calls with the same statuses and resets. A call that waits
+//! before it fails may have waited for its turn, so discovery is assumed to run. A call that fails at once has not
+//! waited, so discovery is assumed to be down. Both assumptions can be wrong: a discovery that is down may fail
+//! calls late, and an overloaded one may reject them at once.
 
 use std::io::ErrorKind;
 use std::time::Duration;
@@ -11,8 +13,7 @@
 use super::error::DiscoveryError;
 use crate::WatchFailure;
 
-/// Longest time from a request to its failure while discovery is down. An overloaded discovery lets requests
-/// wait for longer before they fail.
+/// Longest time from a request to a failure that counts as immediate.
 pub(super) const MAX_IMMEDIATE_FAILURE_TIME: Duration = Duration::from_millis(300);
 
 /// The exchange of a request and its answer.
--- a/src/types/endpoint_lease.rs
+++ b/src/types/endpoint_lease.rs
@@ -1,13 +1,11 @@
-//! The state of the lease on the endpoint list that a hot restart transfers. `policy::endpoint_lease` has the
-//! rule.
+//! State of the lease on the endpoint list (`policy::endpoint_lease`), as a hot restart transfers it.
 
 use super::Time;
 
 /// Whether the list may lack changes that discovery listed after its last answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListContinuity {
     /// Each change since the last answer would have arrived, unless discovery is down.
-    #[default]
     Continuous,
     /// The watch became silent. It may have missed changes, unless an outage explains the silence.
     Silent,
