Say the tests of stale lists in two tables of cases, and add a discovery that accepts nothing

Cause: four tests of outages and seven of overloads had the same steps in five files. No test had an address that neither accepts nor refuses connections, for which a connect has its own timeout.

Change: overload.rs has the cases in which no request may reach a draining server, outage.rs one table of twelve in which none may be refused. Each case, bound and check is kept; "no connection at a new address" is new.

--- a/tests/daemon/stale_list/mod.rs
+++ b/tests/daemon/stale_list/mod.rs
@@ -5,13 +5,10 @@
 //! reach the draining server after the grace of its drain.
 //! `docs/incidents/2026-12-03-drain-after-silent-watch.md` describes such a case.
 //!
-//! `overload` has the tests in which discovery runs and does not answer, `outage` those in which it is down, and
-//! `new_address` those in which the configuration names another discovery.
+//! `overload` has the tests in which discovery runs and does not answer in time, also at a new address, after a hot
+//! restart and since the start; `outage` has those in which it is down.
 
 mod drain_scenario;
-mod first_start;
-mod hot_restart;
-mod new_address;
 mod outage;
 mod overload;
 
