Write the transitions of the lease as a table of cells in its test

Cause: the expected values of all events in all states were sixty lines of match arms, which could not be compared with the table of the design page.

Change: one row for each event, one cell for each state, with and without pushed lists. No case is left out. A list that does not expire is still probed for an outage that starts a lease on it.

--- a/tests/policy/endpoint_lease.rs
+++ b/tests/policy/endpoint_lease.rs
@@ -18,23 +18,24 @@
 /// Duration of a lease from a change of discovery's address to the first answer of the new one.
 const LEASE_AT_NEW_ADDRESS: Micros = Micros::from_secs(4);
 
-/// State of a lease, as far as the balancer shows it.
+/// State in which an event finds a lease. The letter is that of the cells in [`TRANSITIONS`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
-    /// Nothing has been reported yet. The list does not expire.
+    /// Nothing has been reported yet. The list does not expire (`-`).
     NoLease,
-    /// An answer, and no change that may have been missed.
+    /// An answer, and no change that may have been missed (`C`).
     Continuous,
-    /// As `Continuous`, and then a new address of discovery.
+    /// As `Continuous`, and then a new address of discovery (`A`).
     NewAddress,
-    /// A watch without an answer.
+    /// A watch without an answer (`S`).
     Silent,
-    /// A watch without an answer, and then an unreachable discovery, which explains the silence.
+    /// As `Silent`, and then an unreachable discovery, which explains the silence (`S`).
     SilentInOutage,
-    /// A call that waited, and then failed.
+    /// A call that waited, and then failed (`I`).
     Interrupted,
 }
 
+/// The states, in the order of the cells in [`TRANSITIONS`].
 const STATES: [State; 6] = [
     State::NoLease,
     State::Continuous,
@@ -47,23 +48,52 @@
 /// An event of the watch, about the call that was made at a time of its own.
 #[derive(Clone, Copy, Debug)]
 enum WatchEvent {
+    Started,
+    AddressChanged,
     Confirmed,
     Silent,
     Failed(WatchFailure),
-    AddressChanged,
-    Started,
 }
 
-const EVENTS: [WatchEvent; 9] = [
-    WatchEvent::Started,
-    WatchEvent::Confirmed,
-    WatchEvent::AddressChanged,
-    WatchEvent::Silent,
-    WatchEvent::Failed(WatchFailure::Unreachable),
-    WatchEvent::Failed(WatchFailure::Unavailable),
-    WatchEvent::Failed(WatchFailure::WatchEnded),
-    WatchEvent::Failed(WatchFailure::Unanswered),
-    WatchEvent::Failed(WatchFailure::Rejected),
+/// What follows an event at [`EVENT_AT`] in each state: the time of expiry in seconds, and the letter of the state.
+struct Transitions {
+    event: WatchEvent,
+    cells: [&'static str; 6],
+    /// The cells where lists are pushed to an agent.
+    pushed: [&'static str; 6],
+}
+
+const fn row(event: WatchEvent, cells: [&'static str; 6], pushed: [&'static str; 6]) -> Transitions {
+    Transitions { event, cells, pushed }
+}
+
+#[rustfmt::skip]
+const TRANSITIONS: [Transitions; 9] = [
+    row(WatchEvent::Started,
+        ["11.0 C", "6.0 C", "6.0 A", "6.0 S", "10.0 S", "6.0 I"],
+        ["11.0 C", "6.0 C", "6.0 A", "9.5 S", "10.0 S", "6.0 I"]),
+    row(WatchEvent::AddressChanged,
+        ["9.0 A", "6.0 A", "6.0 A", "6.0 S", "9.0 S", "6.0 I"],
+        ["9.0 A", "6.0 A", "6.0 A", "9.0 S", "9.0 S", "6.0 I"]),
+    row(WatchEvent::Confirmed, ["11.0 C"; 6], ["11.0 C"; 6]),
+    row(WatchEvent::Silent,
+        ["10.9 S", "6.0 S", "6.0 S", "6.0 S", "6.0 S", "6.0 I"],
+        ["11.0 S", "11.0 S", "9.0 S", "11.0 S", "11.0 S", "6.0 I"]),
+    row(WatchEvent::Failed(WatchFailure::Unreachable),
+        ["-", "10.9 C", "8.9 A", "10.9 S", "10.9 S", "6.0 I"],
+        ["-", "10.9 C", "8.9 A", "10.9 S", "10.9 S", "6.0 I"]),
+    row(WatchEvent::Failed(WatchFailure::Unavailable),
+        ["-", "10.9 C", "8.9 A", "6.0 I", "6.0 I", "6.0 I"],
+        ["-", "10.9 C", "8.9 A", "6.0 I", "6.0 I", "6.0 I"]),
+    row(WatchEvent::Failed(WatchFailure::WatchEnded),
+        ["-", "6.0 C", "6.0 A", "6.0 S", "10.0 S", "6.0 I"],
+        ["-", "6.0 C", "6.0 A", "9.5 S", "10.0 S", "6.0 I"]),
+    row(WatchEvent::Failed(WatchFailure::Unanswered),
+        ["-", "6.0 S", "6.0 S", "6.0 S", "6.0 S", "6.0 I"],
+        ["-", "11.0 C", "9.0 A", "11.0 S", "11.0 S", "6.0 I"]),
+    row(WatchEvent::Failed(WatchFailure::Rejected),
+        ["-", "6.0 I", "6.0 I", "6.0 I", "6.0 I", "6.0 I"],
+        ["-", "6.0 I", "6.0 I", "6.0 I", "6.0 I", "6.0 I"]),
 ];
 
 /// A balancer whose watch reports events at given times after the start.
@@ -116,74 +146,34 @@
     }
 }
 
-/// Returns the state in which an event leaves a watch, by the outages that extend its lease afterwards.
-fn state_after(mut replay: impl FnMut() -> Watch) -> State {
+/// Returns the letter of the state in which an event leaves a watch, by the outages that extend its lease afterwards.
+fn letter_after(mut replay: impl FnMut() -> Watch) -> char {
     let mut extended_lease = |failure| {
         let mut watch = replay();
         let before = watch.expires_at();
         watch.fail(failure, PROBED_AT);
         watch.expires_at().filter(|after| Some(*after) > before)
     };
-    if let Some(expires_at) = extended_lease(WatchFailure::Unavailable) {
-        let is_at_new_address = expires_at == PROBED_AT + LEASE_AT_NEW_ADDRESS;
-        return if is_at_new_address { State::NewAddress } else { State::Continuous };
-    }
-    match extended_lease(WatchFailure::Unreachable) {
-        Some(_) => State::Silent,
-        None if replay().expires_at().is_none() => State::NoLease,
-        None => State::Interrupted,
+    match (extended_lease(WatchFailure::Unavailable), extended_lease(WatchFailure::Unreachable)) {
+        (Some(expires_at), _) if expires_at == PROBED_AT + LEASE_AT_NEW_ADDRESS => 'A',
+        (Some(_), _) => 'C',
+        (None, Some(_)) => 'S',
+        (None, None) => 'I',
     }
 }
 
-/// Returns when the list expires after an event, in milliseconds from the start, and the state that follows.
-fn expected(state: State, event: WatchEvent, is_pushed: bool) -> (Option<u64>, State) {
-    use WatchFailure::{Rejected, Unanswered, Unavailable, Unreachable, WatchEnded};
-    let is_silent = matches!(state, State::Silent | State::SilentInOutage);
-    match (event, state) {
-        (WatchEvent::Confirmed, _) => (Some(11_000), State::Continuous),
-
-        (WatchEvent::Started, State::NoLease) => (Some(11_000), State::Continuous),
-        (WatchEvent::Started, State::SilentInOutage) => (Some(10_000), State::Silent),
-        (WatchEvent::Started, _) if is_silent && is_pushed => (Some(9_500), State::Silent),
-        (WatchEvent::Started, state) => (Some(6_000), state),
-
-        (WatchEvent::AddressChanged, State::NoLease) => (Some(9_000), State::NewAddress),
-        (WatchEvent::AddressChanged, State::Continuous | State::NewAddress) => {
-            (Some(6_000), State::NewAddress)
-        }
-        (WatchEvent::AddressChanged, State::SilentInOutage) => (Some(9_000), State::Silent),
-        (WatchEvent::AddressChanged, _) if is_silent && is_pushed => (Some(9_000), State::Silent),
-        (WatchEvent::AddressChanged, state) => (Some(6_000), state),
-
-        (WatchEvent::Silent, State::NoLease) if is_pushed => (Some(11_000), State::Silent),
-        (WatchEvent::Silent, State::NoLease) => (Some(10_900), State::Silent),
-        (WatchEvent::Silent, State::Interrupted) => (Some(6_000), State::Interrupted),
-        (WatchEvent::Silent, State::NewAddress) if is_pushed => (Some(9_000), State::Silent),
-        (WatchEvent::Silent, _) if is_pushed => (Some(11_000), State::Silent),
-        (WatchEvent::Silent, _) => (Some(6_000), State::Silent),
-
-        (WatchEvent::Failed(_), State::NoLease) => (None, State::NoLease),
-        (WatchEvent::Failed(_), State::Interrupted) => (Some(6_000), State::Interrupted),
-
-        (WatchEvent::Failed(Unreachable | Unavailable), State::NewAddress) => {
-            (Some(8_900), State::NewAddress)
-        }
-        (WatchEvent::Failed(Unreachable), State::Continuous) => (Some(10_900), State::Continuous),
-        (WatchEvent::Failed(Unreachable), _) => (Some(10_900), State::Silent),
-        (WatchEvent::Failed(Unavailable), State::Continuous) => (Some(10_900), State::Continuous),
-        (WatchEvent::Failed(Unavailable), _) => (Some(6_000), State::Interrupted),
-
-        (WatchEvent::Failed(WatchEnded), State::Continuous | State::NewAddress) => (Some(6_000), state),
-        (WatchEvent::Failed(WatchEnded), State::SilentInOutage) => (Some(10_000), State::Silent),
-        (WatchEvent::Failed(WatchEnded), _) if is_pushed => (Some(9_500), State::Silent),
-        (WatchEvent::Failed(WatchEnded), _) => (Some(6_000), State::Silent),
-
-        (WatchEvent::Failed(Unanswered), State::NewAddress) if is_pushed => (Some(9_000), State::NewAddress),
-        (WatchEvent::Failed(Unanswered), State::Continuous) if is_pushed => (Some(11_000), State::Continuous),
-        (WatchEvent::Failed(Unanswered), _) if is_pushed && is_silent => (Some(11_000), State::Silent),
-        (WatchEvent::Failed(Unanswered), _) => (Some(6_000), State::Silent),
-
-        (WatchEvent::Failed(Rejected), _) => (Some(6_000), State::Interrupted),
+/// Returns the cell of [`TRANSITIONS`] that describes an event in a state.
+fn cell(state: State, event: WatchEvent, is_pushed: bool) -> String {
+    let replay = || {
+        let mut watch = Watch::in_state(state, is_pushed);
+        watch.report(event, EVENT_AT, CALLED_AT);
+        watch
+    };
+    match (replay().expires_at(), letter_after(replay)) {
+        // No outage starts a lease on a list that does not expire.
+        (None, 'I') => "-".to_owned(),
+        (None, letter) => format!("- {letter}"),
+        (Some(at), letter) => format!("{:.1} {letter}", at.0 as f64 / 1e6),
     }
 }
 
@@ -191,27 +181,16 @@
 /// an outage that does not renew it.
 #[test]
 fn each_event_moves_the_lease_of_each_state_as_documented() {
-    for is_pushed in [false, true] {
-        for state in STATES {
-            for event in EVENTS {
-                let replay = || {
-                    let mut watch = Watch::in_state(state, is_pushed);
-                    watch.report(event, EVENT_AT, CALLED_AT);
-                    watch
-                };
-                let expires_at = replay().expires_at().map(|at| at.0 / MS.0);
-                assert_eq!(
-                    (expires_at, state_after(replay)),
-                    expected(state, event, is_pushed),
-                    "{event:?} in {state:?}, pushed: {is_pushed}"
-                );
-            }
+    for Transitions { event, cells, pushed } in TRANSITIONS {
+        for (is_pushed, expected) in [(false, cells), (true, pushed)] {
+            let actual = STATES.map(|state| cell(state, event, is_pushed));
+            assert_eq!(actual, expected, "{event:?} in {STATES:?}, pushed: {is_pushed}");
         }
     }
 }
 
 fn any_event() -> impl Strategy<Value = WatchEvent> {
-    proptest::sample::select(EVENTS.to_vec())
+    proptest::sample::select(TRANSITIONS.map(|row| row.event).to_vec())
 }
 
 /// The latest time at which the list may expire, by a model that knows no more than the evidence.
